--- /dev/null
+++ b/slipbay/__main__.py
@@ -0,0 +1,108 @@
+"""Starts a router, and ends it: ``python -m slipbay``."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+
+from martenkeel import Controller
+from martenkeel import interface as api
+from slipbay.back.http import HttpBack
+from slipbay.back.pool import Sockets
+from slipbay.clock import Clock
+from slipbay.config import Config, ConfigError, load
+from slipbay.core.router import Core
+from slipbay.core.timers import Timers
+from slipbay.feed.journal import Host, Journal
+from slipbay.feed.peers import Peers
+from slipbay.front.jsonrpc import JsonRpcConnection, JsonRpcFront
+from slipbay.front.server import Server
+from slipbay.log import log
+from slipbay.stream import Dialer
+
+LINGER_US = 700_000  # after SIGTERM, how long requests are still taken
+
+
+class Router:
+    """All parts of one query router."""
+
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+        self.config = config
+        self.clock = Clock(loop)
+        self.timers = Timers(loop, self.clock)
+        self.dialer = Dialer(loop, self.timers)
+        self.core = Core(loop, self.clock, self.timers, Controller(config.settings, config.seed),
+                         config.settings, config.max_open)
+        self.back = HttpBack(config, self.timers, self.dialer, Sockets(config.limits.engine_sockets),
+                             self.clock.now)
+        self.core.backs.append(self.back)
+        self.journal = Journal(config, self.clock, self.timers, self.dialer, self._listed)
+        self.peers = Peers(config, lambda sender, body: self.core.tell(api.PeerMessage(sender, body)))
+        self.core.tell_peers = self.peers.send
+        self.server = Server(self.timers, config.limits, self.clock.now)
+        self._has_list = False
+        self._ending = False
+        self.done = asyncio.Event()
+
+    def _listed(self, kind: api.ListKind, hosts: list[Host]) -> None:
+        self._has_list = self._has_list or bool(hosts)
+        self.back.listed(kind, hosts)
+        self.core.tell(api.EngineList(kind, tuple(host.entry for host in hosts)))
+
+    def well(self) -> bool:
+        """Whether the front may send us clients."""
+        return self.server.listening and self._has_list and not self._ending
+
+    async def start(self) -> None:
+        await self.peers.start()
+        self.journal.start()
+        front = JsonRpcFront(self.config, self.core, self.back, self.well)
+        await self.server.listen(self.config.listen, lambda: JsonRpcConnection(self.server, front))
+        log("start", f"{self.config.name} listens at %s:%d" % self.config.listen)
+
+    def end(self) -> None:
+        """SIGTERM: take requests a little longer, answer all that were taken, then leave."""
+        if not self._ending:
+            self._ending = True
+            log("end", "asked to end")
+            self.timers.after(LINGER_US, self._leave)
+
+    def _leave(self) -> None:
+        self.server.emptied = self.core.idle = self._maybe_done
+        self.server.leave()
+
+    def _maybe_done(self) -> None:
+        if not self.server.connections and not self.core.requests:
+            self.done.set()
+
+
+async def serve(config: Config) -> None:
+    loop = asyncio.get_running_loop()
+    router = Router(config, loop)
+    await router.start()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, router.end)
+    gc.collect()
+    gc.freeze()  # what lives from start to end is not looked through again
+    await router.done.wait()
+    router.peers.close()
+
+
+def main() -> int:
+    try:
+        config = load(os.environ)
+        asyncio.run(serve(config))
+    except ConfigError as problem:
+        print(f"slipbay: bad configuration: {problem}", file=sys.stderr)
+        return 2
+    except OSError as problem:
+        print(f"slipbay: cannot start: {problem}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/slipbay/back/__init__.py
@@ -0,0 +1,1 @@
+"""Engine connections: pools, attempts, results, probes and cancels."""
--- /dev/null
+++ b/slipbay/back/http.py
@@ -0,0 +1,383 @@
+"""Engines that speak HTTP/1.1: attempts, pages, probes and cancels.
+
+A query belongs to no connection: it is asked for by its id, on whatever connection there is. An attempt
+ends only when its end was read, when the engine has the DELETE, or when the engine must have dropped it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from martenkeel import interface as api
+from martenkeel.interface import EngineId, Outcome
+from slipbay.back.pool import Pool, PooledStream, Sockets, Trouble, Wait
+from slipbay.config import Config
+from slipbay.core.router import Attempt, Exchange
+from slipbay.core.timers import Timer, Timers
+from slipbay.feed.journal import Host
+from slipbay.log import log
+from slipbay.stream import Dialer
+from slipbay.wire import http1
+
+FORGET_US = 2_000_000  # an engine drops a query that it was not asked for so long
+HOLD_US = 250_000  # an engine holds a call so long before it answers with nothing
+LOST_US = FORGET_US + HOLD_US + 100_000  # after this nothing of a query that we could not ask for runs on
+OVERDUE_US = 1_000_000  # a call unanswered for so long: look on a new connection whether the engine is there
+RETRY_US = 250_000
+MOST_RESULT_BYTES = 1024 * 1024
+NOTES = {"done": api.NoteKind.SHARE_DONE, "spills": api.NoteKind.SPILLS, "waits": api.NoteKind.WAITS}
+
+
+class HttpConnection(PooledStream):
+    """One call at a time."""
+
+    def __init__(self, pool: Pool[PooledStream]) -> None:
+        super().__init__(pool)
+        self._responses = http1.Responses()
+        self._responded: Callable[[http1.Response], None] | None = None
+        self._cut: Callable[[], None] | None = None
+        self.sent_at = 0
+
+    def opened(self) -> None:
+        self.usable()
+
+    def call(self, request: bytes, now: int, responded: Callable[[http1.Response], None],
+             cut: Callable[[], None]) -> None:
+        self.sent_at, self._responded, self._cut = now, responded, cut
+        self.write(request)
+
+    def abandon(self) -> None:
+        """Its answer matters to nobody; with it the connection is free again."""
+        self.abandoned = True
+        self._responded, self._cut = lambda response: self._after(response), None
+
+    def _after(self, response: http1.Response) -> None:
+        self.abandoned = False
+        self.done_with(response)
+
+    def done_with(self, response: http1.Response) -> None:
+        if response.keep:
+            self.release()
+        else:
+            self.close()
+
+    def received(self, data: bytes) -> None:
+        try:
+            responses = self._responses.feed(data)
+        except http1.MalformedResponse as problem:
+            log("engine", f"{problem}; the connection is closed")
+            self.abort()
+            return
+        for response in responses:
+            responded, self._responded, self._cut = self._responded, None, None
+            if responded is None:
+                self.abort()  # nobody asked for it
+                return
+            responded(response)
+
+    def ended(self) -> None:
+        cut, self._cut, self._responded = self._cut, None, None
+        super().ended()
+        if cut is not None:
+            cut()
+
+
+class HttpExchange:
+    """One attempt on one engine."""
+
+    def __init__(self, back: HttpBack, attempt: Attempt, pool: Pool[HttpConnection]) -> None:
+        self._back, self._attempt, self._pool = back, attempt, pool
+        self._path = f"/obj/{attempt.request.name}"
+        self._posted = False  # the POST may have arrived whole
+        self._answered = False  # the engine has answered some call, so it has the POST
+        self._asked = 0  # when the last call that keeps the query was written
+        self._main: HttpConnection | None = None  # carries the call whose answer is news of the query
+        self._wait: Wait[HttpConnection] | None = None  # for a connection that is to become the main one
+        self._delete_wait: Wait[HttpConnection] | None = None
+        self._deleting = False
+        self._stopping: Outcome | None = None
+        self._check: Timer | None = None
+        self._pages: list[bytes] = []
+        self._sheets = 0
+        self._over = False
+        self._posts = 0
+        self._wait = pool.acquire(self._post, self._unreachable)
+
+    # Asking
+
+    def _post(self, connection: HttpConnection) -> None:
+        request, now = self._attempt.request, self._back.now()
+        left = request.deadline - now
+        headers = [("X-Hop-Id", request.name), ("X-Sort", self._back.classes[request.service_class]),
+                   ("X-Budget", str(max(1, left // 1000))), ("X-Urgency", str(request.priority))]
+        if request.grant_mb > 0:
+            headers.append(("X-Allot", f"{request.grant_mb:.0f}"))
+        assert isinstance(request.work, bytes)
+        self._wait, self._posted = None, True
+        self._posts += 1
+        self._call(connection, http1.request("POST", "/obj", self._pool_host(), headers, request.work))
+
+    def _ask(self, connection: HttpConnection) -> None:
+        """Ask for the news, or for the next page once the end is known."""
+        self._wait = None
+        if self._main is not None:  # it was silent, and this one has come up
+            self._main.abandon()
+            self._main.abort()
+        number = len(self._pages) if self._sheets else 0
+        self._call(connection, http1.request("GET", f"{self._path}/{number}", self._pool_host()))
+
+    def _call(self, connection: HttpConnection, request: bytes) -> None:
+        self._main, self._asked = connection, self._back.now()
+        connection.call(request, self._asked, lambda response: self._responded(connection, response),
+                        lambda: self._cut(connection))
+        if self._check is None:
+            self._check = self._back.timers.at(self._asked + OVERDUE_US, self._check_on)
+
+    def _pool_host(self) -> str:
+        return self._pool.host
+
+    def _look_again(self) -> None:
+        if self._wait is None:
+            self._wait = self._pool.acquire(self._ask, self._unreachable, fresh=True)
+
+    def _check_on(self) -> None:
+        """Guards against engines that say nothing: machines that vanished, and cut links."""
+        self._check = None
+        unasked = self._back.now() - self._asked
+        if unasked >= LOST_US:
+            self._finish(self._stopping or Outcome.RESET)
+            return
+        if unasked >= OVERDUE_US and self._stopping is None:
+            self._look_again()
+        due = self._asked + OVERDUE_US if unasked < OVERDUE_US else min(
+            self._back.now() + RETRY_US, self._asked + LOST_US)
+        self._check = self._back.timers.at(due, self._check_on)
+
+    # News
+
+    def _responded(self, connection: HttpConnection, response: http1.Response) -> None:
+        self._main, self._answered = None, True
+        if self._wait is not None:  # for another look; there is no need of it any more
+            self._wait.cancel()
+            self._wait = None
+        status, unrun = response.status, response.headers.get("x-no-effect") == "1"
+        if status == 202:
+            self._still_running(connection, response)
+        elif status == 200:
+            self._page(connection, response)
+        else:
+            connection.done_with(response)
+            if status == 503 and unrun:
+                self._finish(self._stopping or Outcome.FULL)
+            elif status == 504 and unrun:
+                self._finish(self._stopping or Outcome.MOOT)
+            else:
+                self._finish(self._stopping or Outcome.ERROR)
+
+    def _still_running(self, connection: HttpConnection, response: http1.Response) -> None:
+        kind = NOTES.get(response.headers.get("x-tell", ""))
+        if kind is not None:
+            try:
+                self._attempt.noted(kind, float(response.headers.get("x-val", "")))
+            except ValueError:
+                log("engine", "a note has no number")
+        if self._stopping is not None:
+            connection.done_with(response)
+            self._delete()
+        else:
+            self._go_on(connection, response)
+
+    def _go_on(self, connection: HttpConnection, response: http1.Response) -> None:
+        """Ask again, on the same connection if it stays."""
+        if response.keep:
+            self._ask(connection)
+        else:
+            connection.close()
+            self._wait = self._pool.acquire(self._ask, self._unreachable)
+
+    def _page(self, connection: HttpConnection, response: http1.Response) -> None:
+        told = response.headers.get("x-sheet" if self._sheets else "x-sheets", "" if self._sheets else "1")
+        number = int(told) if told.isascii() and told.isdigit() and len(told) < 7 else -1
+        if self._sheets and number != len(self._pages) or not self._sheets and number < 1:
+            connection.done_with(response)
+            self._finish(self._stopping or Outcome.ERROR)
+            return
+        self._sheets = self._sheets or number
+        self._pages.append(response.body)
+        if sum(map(len, self._pages)) > MOST_RESULT_BYTES:
+            log("engine", "a result is longer than any may be")
+            connection.done_with(response)
+            self._finish(self._stopping or Outcome.ERROR)
+        elif len(self._pages) == self._sheets:
+            connection.done_with(response)
+            self._finish(Outcome.OK)
+        elif self._stopping is not None:
+            connection.done_with(response)
+            self._finish(self._stopping)  # it has ended; what the client got is decided
+        else:
+            self._go_on(connection, response)
+
+    # Trouble
+
+    def _cut(self, connection: HttpConnection) -> None:
+        """The connection broke under a call: the query may run on."""
+        self._main = None
+        if self._stopping is not None:
+            self._delete()
+        elif not self._answered and connection.unsent_at_loss and self._posts < 3:
+            # The POST did not arrive whole, so nothing ran: it may be sent again.
+            self._posted = False
+            self._wait = self._pool.acquire(self._post, self._unreachable, fresh=True)
+        else:
+            self._look_again()
+
+    def _unreachable(self, trouble: Trouble) -> None:
+        self._wait = None
+        if not self._posted:
+            self._finish(Outcome.MOOT if trouble is Trouble.NO_ROOM else Outcome.CONNECT_FAILED)
+        elif trouble is Trouble.REFUSED:
+            self._finish(self._stopping or Outcome.RESET)  # no process is there: nothing runs any more
+        # else the check tries again until the engine must have dropped the query
+
+    # Giving up
+
+    def stop(self, outcome: Outcome) -> None:
+        """Ends the attempt once no later one can overlap with it."""
+        if self._over or self._stopping is not None:
+            return
+        self._stopping = outcome
+        if not self._posted or self._sheets:
+            self._finish(outcome)  # nothing runs: it was not sent, or its end has been read
+        elif not self._answered and self._main is not None:
+            if self._main.unsent:
+                self._main.abandon()
+                self._main.abort()  # the POST has not left whole, and never will
+                self._main = None
+                self._finish(outcome)
+            # else its first answer comes soon: a DELETE before it might overtake the POST
+        else:
+            self._delete()
+
+    def _delete(self) -> None:
+        if self._deleting or self._over:
+            return
+        self._deleting = True
+        if self._wait is not None:
+            self._wait.cancel()
+            self._wait = None
+        self._delete_wait = self._pool.acquire(self._send_delete, self._undeletable)
+
+    def _send_delete(self, connection: HttpConnection) -> None:
+        self._delete_wait = None
+
+        def responded(response: http1.Response) -> None:
+            connection.done_with(response)
+            self._finish(self._stopping or Outcome.CANCELLED)
+
+        connection.call(http1.request("DELETE", self._path, self._pool_host()), self._back.now(), responded,
+                        lambda: self._undeletable(Trouble.SILENT))
+
+    def _undeletable(self, trouble: Trouble) -> None:
+        self._delete_wait = None
+        if trouble is Trouble.REFUSED:
+            self._finish(self._stopping or Outcome.CANCELLED)
+        elif not self._over:
+            self._deleting = False
+            self._back.timers.after(RETRY_US, self._delete)
+
+    def set_priority(self, priority: int) -> None:
+        if self._posted and not self._sheets and not self._over:
+            self._back.fire_and_forget(self._pool, http1.request(
+                "PUT", self._path, self._pool_host(), body=str(priority).encode()))
+
+    def _finish(self, outcome: Outcome) -> None:
+        if self._over:
+            return
+        self._over = True
+        for wait in (self._wait, self._delete_wait):
+            if wait is not None:
+                wait.cancel()
+        if self._check is not None:
+            self._check.cancel()
+        if self._main is not None:
+            self._main.abandon()
+            if self._back.now() - self._asked >= OVERDUE_US:
+                self._main.abort()  # whatever of it is still under way must not arrive later
+        self._attempt.ended(outcome, b"".join(self._pages) if outcome is Outcome.OK else None)
+
+
+class HttpBack:
+    """All HTTP engines."""
+
+    def __init__(self, config: Config, timers: Timers, dialer: Dialer, sockets: Sockets,
+                 now: Callable[[], int]) -> None:
+        self._config, self.timers, self.now = config, timers, now
+        self._dialer, self._sockets = dialer, sockets
+        self.classes = config.classes
+        self._pools: dict[EngineId, Pool[HttpConnection]] = {}
+        self._born: dict[EngineId, int] = {}
+        timers.after(1_000_000, self._sweep)
+
+    def listed(self, kind: api.ListKind, hosts: list[Host]) -> None:
+        """News of where engines listen."""
+        if kind is not api.ListKind.DELTA:
+            for engine in self._pools.keys() - {host.entry.engine for host in hosts}:
+                self._pools[engine].renew(self._pools[engine].address, gone=True)
+        for host in hosts:
+            engine, gone = host.entry.engine, host.entry.state is api.EngineState.GONE
+            pool = self._pools.get(engine)
+            if pool is None:
+                self._pools[engine] = pool = Pool(
+                    engine, host.address, self._connection, self._dialer, self.timers, self._sockets,
+                    self.now, self._config.connect_timeout_us, self._config.idle_us)
+                pool.gone = gone
+            elif gone:
+                pool.renew(pool.address, gone=True)
+            elif (pool.gone or pool.address != host.address
+                    or self._born.get(engine) != host.entry.ready_at_us):
+                pool.renew(host.address, gone=False)
+            self._born[engine] = host.entry.ready_at_us
+
+    @staticmethod
+    def _connection(pool: Pool[HttpConnection]) -> HttpConnection:
+        return HttpConnection(pool)  # type: ignore[arg-type]
+
+    def start(self, attempt: Attempt) -> Exchange:
+        return HttpExchange(self, attempt, self._pools[attempt.engine])
+
+    def probe(self, engine: EngineId, done: Callable[[Outcome], None]) -> None:
+        pool = self._pools[engine]
+        over = False
+
+        def end(outcome: Outcome) -> None:
+            nonlocal over
+            if not over:
+                over = True
+                timer.cancel()
+                done(outcome)
+
+        def send(connection: HttpConnection) -> None:
+            def responded(response: http1.Response) -> None:
+                connection.done_with(response)
+                end({200: Outcome.OK, 503: Outcome.FULL}.get(response.status, Outcome.ERROR))
+
+            connection.call(http1.request("GET", "/ping", pool.host), self.now(), responded,
+                            lambda: end(Outcome.RESET))
+
+        timer = self.timers.after(2 * self._config.connect_timeout_us, lambda: end(Outcome.TIMEOUT))
+        pool.acquire(send, lambda trouble: end(Outcome.CONNECT_FAILED))
+
+    def fire_and_forget(self, pool: Pool[HttpConnection], request: bytes) -> None:
+        def send(connection: HttpConnection) -> None:
+            connection.call(request, self.now(), connection.done_with, lambda: None)
+
+        pool.acquire(send, lambda trouble: None)
+
+    def close_idle(self, engine: EngineId) -> None:
+        if engine in self._pools:
+            self._pools[engine].close_idle()
+
+    def _sweep(self) -> None:
+        for pool in self._pools.values():
+            pool.sweep()
+        self.timers.after(1_000_000, self._sweep)
--- /dev/null
+++ b/slipbay/back/pool.py
@@ -0,0 +1,195 @@
+"""Connections to engines: a pool for each engine, under one bound on all of them."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from enum import Enum, auto
+from typing import Generic, TypeVar
+
+from martenkeel.interface import EngineId
+from slipbay.core.timers import Timer, Timers
+from slipbay.log import log
+from slipbay.stream import Address, Dial, Dialer, Stream
+
+SWEEP_US = 1_000_000
+KEEP_SHARE = 3  # an idle connection is closed after this part of the time after which engines close it
+
+
+class Trouble(Enum):
+    """Why there is no connection."""
+
+    REFUSED = auto()  # the machine answers, the process does not run
+    SILENT = auto()  # nothing came back in time
+    NO_ROOM = auto()  # we hold all the sockets that we may
+
+
+class PooledStream(Stream):
+    """A connection that a pool keeps. ``opened`` or, after a handshake, its own call says it can be used."""
+
+    def __init__(self, pool: Pool[PooledStream]) -> None:
+        self.pool = pool
+        self.idle_since = 0
+        self.abandoned = False  # its call's answer is awaited only to be thrown away
+        self.usable: Callable[[], None] = lambda: None
+        self.broken: Callable[[], None] = lambda: None
+
+    def release(self) -> None:
+        """The call is over; the connection may serve the next one."""
+        self.pool.take_back(self)
+
+    def ended(self) -> None:
+        self.pool.dropped(self)
+        self.broken()
+
+
+C = TypeVar("C", bound=PooledStream)
+
+
+class Sockets:
+    """How many engine connections there may be, over all pools."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.used = most, 0
+        self.pools: list[Pool[PooledStream]] = []
+
+    def make_room(self) -> bool:
+        """Whether one more may be opened, for which an idle one may have to go."""
+        if self.used < self.most:
+            return True
+        for pool in self.pools:
+            if pool.idle:
+                pool.idle.popleft().abort()
+                return True
+        return False
+
+
+class Wait(Generic[C]):
+    """Somebody who waits for a connection: ``done`` or ``failed`` is called, once, unless cancelled."""
+
+    def __init__(self, done: Callable[[C], None], failed: Callable[[Trouble], None]) -> None:
+        self.done, self.failed = done, failed
+        self.dial: Dial | None = None
+        self.stream: C | None = None
+        self.timer: Timer | None = None
+        self.over = False
+
+    def finish(self) -> bool:
+        """The wait is over; true for the first who says so."""
+        was, self.over = self.over, True
+        if self.timer is not None:
+            self.timer.cancel()
+        return not was
+
+    def cancel(self) -> None:
+        if self.finish():
+            if self.dial is not None:
+                self.dial.give_up()
+            if self.stream is not None:
+                self.stream.pool.discard(self.stream)
+
+
+class Pool(Generic[C]):
+    """Connections to one engine."""
+
+    def __init__(self, engine: EngineId, address: Address, make: Callable[[Pool[C]], C], dialer: Dialer,
+                 timers: Timers, sockets: Sockets, now: Callable[[], int], connect_us: int,
+                 idle_us: int) -> None:
+        self.engine, self.address = engine, address
+        self._make, self._dialer, self._timers = make, dialer, timers
+        self._sockets, self._now = sockets, now
+        self._connect_us, self._keep_us = connect_us, idle_us // KEEP_SHARE
+        self.idle: deque[C] = deque()
+        self._held: set[C] = set()  # connections that count, idle or not
+        self.gone = False
+        sockets.pools.append(self)  # type: ignore[arg-type]
+
+    def acquire(self, done: Callable[[C], None], failed: Callable[[Trouble], None],
+                fresh: bool = False) -> Wait[C]:
+        """A connection for one call; ``fresh`` for one that is proven to come up now.
+
+        An idle one is handed over within this call; failures come later.
+        """
+        wait = Wait(done, failed)
+        while self.idle and not fresh:
+            stream = self.idle.pop()  # the last used: the others may grow old
+            if stream.stale():
+                stream.abort()
+                continue
+            wait.finish()
+            done(stream)
+            return wait
+        if not self._sockets.make_room():
+            log("pool", "no sockets are left for engine connections")
+            wait.timer = self._timers.after(0, lambda: self._fail(wait, Trouble.NO_ROOM))
+            return wait
+        stream = self._make(self)
+        wait.stream = stream
+        self._held.add(stream)
+        self._sockets.used += 1
+        stream.usable = lambda: self._usable(wait, stream)
+        stream.broken = lambda: self._fail(wait, Trouble.REFUSED)
+        wait.timer = self._timers.after(self._connect_us, lambda: self._fail(wait, Trouble.SILENT))
+        wait.dial = self._dialer.dial(
+            self.address, stream, self._connect_us,
+            lambda refused: self._fail(wait, Trouble.REFUSED if refused else Trouble.SILENT))
+        return wait
+
+    def _usable(self, wait: Wait[C], stream: C) -> None:
+        stream.broken = stream.usable = lambda: None
+        if wait.finish():
+            wait.done(stream)
+        else:
+            stream.abort()
+
+    def _fail(self, wait: Wait[C], trouble: Trouble) -> None:
+        if wait.finish():
+            if wait.dial is not None:
+                wait.dial.give_up()
+            if wait.stream is not None:
+                self.discard(wait.stream)
+            wait.failed(trouble)
+
+    def take_back(self, stream: C) -> None:
+        if stream.lost or stream not in self._held:
+            return
+        if self.gone:
+            stream.close()
+            return
+        stream.idle_since = self._now()
+        self.idle.append(stream)
+
+    def discard(self, stream: C) -> None:
+        """Forget a connection, up or not."""
+        self.dropped(stream)
+        stream.abort()
+
+    def dropped(self, stream: C) -> None:
+        if stream in self._held:
+            self._held.discard(stream)
+            self._sockets.used -= 1
+        if stream in self.idle:
+            self.idle.remove(stream)
+
+    def renew(self, address: Address, gone: bool) -> None:
+        """A new process stands behind the engine's name, or none: the idle connections are of no use."""
+        self.address, self.gone = address, gone
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        for stream in list(self.idle):
+            stream.abort()
+        self.idle.clear()
+
+    def sweep(self) -> None:
+        """Close what has been idle for long, before the engine does so in the middle of a call."""
+        while self.idle and self._now() - self.idle[0].idle_since > self._keep_us:
+            self.idle.popleft().close()
+
+    @property
+    def host(self) -> str:
+        return f"{self.address[0]}:{self.address[1]}"
+
+    @property
+    def empty(self) -> bool:
+        return not self._held
--- /dev/null
+++ b/slipbay/config.py
@@ -0,0 +1,180 @@
+"""The one place where configuration is read, checked and given defaults. Errors name the faulty key."""
+
+from __future__ import annotations
+
+import ipaddress
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from martenkeel import interface as api
+from martenkeel.wire import MalformedFrame, settings_from
+from slipbay.stream import Address
+
+DEFAULT_MEMORY_MB, DEFAULT_SOCKETS = 192, 1024
+DEFAULT_CONNECT_TIMEOUT_US, DEFAULT_IDLE_US = 250_000, 30_000_000
+DEFAULT_MAX_OPEN = 4096
+
+
+class ConfigError(Exception):
+    """The text names the key and says what is wanted of it."""
+
+
+@dataclass(frozen=True)
+class Limits:
+    cores: float
+    memory_mb: int
+    sockets: int
+
+    @property
+    def client_sockets(self) -> int:
+        """Clients are promised a third of the descriptors."""
+        return self.sockets * 2 // 5
+
+    @property
+    def engine_sockets(self) -> int:
+        """The rest, less some for the feed, the peers, the listeners and the loop itself."""
+        return max(8, self.sockets - self.client_sockets - 32)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Answers that may wait for slow readers, over all connections."""
+        return self.memory_mb * 1024 * 1024 // 4
+
+
+@dataclass(frozen=True)
+class Config:
+    name: str
+    listen: Address
+    seed: int
+    limits: Limits
+    journal: Address
+    known: Mapping[str, Any]
+    peer_listen: Address | None
+    peers: tuple[Address, ...]
+    peers_all: Address | None
+    settings: api.Settings
+    classes: tuple[str, ...]
+    tenants: tuple[str, ...]
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    connect_timeout_us: int
+    idle_us: int
+    max_open: int
+    environment: Mapping[str, str] = field(default_factory=dict)
+
+
+def address(value: object, key: str) -> Address:
+    """``1.2.3.4:80`` as a pair; names are not resolved, as there is no DNS."""
+    host, colon, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        colon = ""
+    if not colon or not (port.isascii() and port.isdigit()) or not 0 <= int(port) < 65536:
+        raise ConfigError(f"{key}: want an IPv4 address and a port, as in 10.0.0.4:8443; got {value!r}")
+    return host, int(port)
+
+
+class Keys:
+    """One object of the configuration, read key by key."""
+
+    def __init__(self, data: object, path: str = "") -> None:
+        if not isinstance(data, dict):
+            raise ConfigError(f"{path or 'the configuration'}: want an object")
+        self.data, self.path = data, path
+
+    def name(self, key: str) -> str:
+        return f"{self.path}.{key}" if self.path else key
+
+    def get(self, key: str, kind: type | tuple[type, ...], wanted: str, default: Any = None) -> Any:
+        """The value of a key; without a default it must be there."""
+        value = self.data.get(key, default)
+        if value is None and default is None:
+            raise ConfigError(f"{self.name(key)}: missing")
+        if not isinstance(value, kind) or isinstance(value, bool) and kind is not bool:
+            raise ConfigError(f"{self.name(key)}: want {wanted}; got {value!r}")
+        return value
+
+    def text(self, key: str, default: str | None = None) -> str:
+        return str(self.get(key, str, "a string", default))
+
+    def number(self, key: str, least: float, default: float | None = None) -> float:
+        value = self.get(key, (int, float), "a number", default)
+        if not value >= least:
+            raise ConfigError(f"{self.name(key)}: want a number of at least {least:g}; got {value!r}")
+        return float(value)
+
+    def part(self, key: str, default: Any = None) -> Keys:
+        return Keys(self.get(key, dict, "an object", default), self.name(key))
+
+    def names(self, key: str) -> tuple[str, ...]:
+        """A list of strings, or of objects that have a name."""
+        values = [item.get("name") if isinstance(item, dict) else item
+                  for item in self.get(key, list, "a list", [])]
+        if not all(isinstance(value, str) for value in values):
+            raise ConfigError(f"{self.name(key)}: want names, or objects with a name")
+        return tuple(map(str, values))
+
+
+def optional_address(keys: Keys, key: str) -> Address | None:
+    return address(keys.data[key], keys.name(key)) if keys.data.get(key) else None
+
+
+def _seed(keys: Keys) -> int:
+    text = keys.text("seed", "0")
+    try:
+        return int(text, 16)
+    except ValueError:
+        raise ConfigError(f"seed: want hex digits; got {text!r}") from None
+
+
+def from_json(text: str | bytes, environment: Mapping[str, str]) -> Config:
+    try:
+        keys = Keys(json.loads(text))
+    except ValueError as problem:
+        raise ConfigError(f"the configuration is not JSON: {problem}") from None
+    info = keys.part("settings")
+    try:
+        settings = settings_from(json.dumps(info.data).encode())
+    except MalformedFrame as problem:
+        raise ConfigError(f"settings: {problem}") from None
+    limits, policy = keys.part("limits", {}), info.part("policyLimits", {})
+    peers = keys.get("peers", list, "a list of addresses", [])
+    known = keys.part("known", {"pos": 0, "entries": []})
+    known.number("pos", 0, 0)
+    known.get("entries", list, "a list of events", [])
+    return Config(
+        name=environment.get("GW_NAME") or keys.text("name"),
+        listen=address(environment.get("GW_LISTEN") or keys.text("listen"), "listen"),
+        seed=_seed(keys),
+        limits=Limits(limits.number("cores", 0, 1.0),
+                      int(limits.number("memory_mb", 1, DEFAULT_MEMORY_MB)),
+                      int(limits.number("sockets", 64, DEFAULT_SOCKETS))),
+        journal=address(keys.text("journal"), "journal"),
+        known=known.data,
+        peer_listen=optional_address(keys, "peer_listen"),
+        peers=tuple(address(peer, f"peers[{n}]") for n, peer in enumerate(peers)),
+        peers_all=optional_address(keys, "peers_all"),
+        settings=settings,
+        classes=info.names("profiles"),
+        tenants=info.names("realms"),
+        zones=info.names("dcs"),
+        kinds=info.names("kinds"),
+        connect_timeout_us=int(policy.number("connectTimeoutUs", 1, DEFAULT_CONNECT_TIMEOUT_US)),
+        idle_us=int(policy.number("connIdleUs", 1, DEFAULT_IDLE_US)),
+        max_open=min(DEFAULT_MAX_OPEN, int(policy.number("maxOpen", 1, DEFAULT_MAX_OPEN))),
+        environment=environment)
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    """What the platform tells a router, by way of its environment."""
+    path = environment.get("GW_CONFIG")
+    if not path:
+        raise ConfigError("GW_CONFIG: want the path of the configuration")
+    try:
+        return from_json(Path(path).read_bytes(), environment)
+    except OSError as problem:
+        raise ConfigError(f"GW_CONFIG: {path} cannot be read: {problem.strerror}") from None
--- /dev/null
+++ b/slipbay/core/__init__.py
@@ -0,0 +1,1 @@
+"""Requests, attempts and outcomes; nothing here knows a wire."""
--- /dev/null
+++ b/slipbay/core/router.py
@@ -0,0 +1,280 @@
+"""The core: requests, attempts and outcomes, between the fronts, the decisions and the backs.
+
+Events of a turn of the loop are gathered and told to the decisions in one call; the actions that they
+answer with are carried out in order. No decision is made here, but for one guard: a client gets its answer
+in time whatever the decisions or the engines do.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol, TypeAlias
+
+from martenkeel import interface as api
+from martenkeel.interface import Outcome
+from slipbay.clock import Clock
+from slipbay.core.timers import Timer, Timers
+from slipbay.log import log
+
+GUARD_US = 10_000  # after a deadline, when the core answers in place of decisions that did not
+
+
+@dataclass(slots=True, frozen=True)
+class Served:
+    result: object  # what the back made, in a form that the request's front knows
+
+
+@dataclass(slots=True, frozen=True)
+class Refused:
+    retry_after_us: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Failed:
+    reason: str
+    late: bool = False  # the deadline passed
+
+
+Answer: TypeAlias = Served | Refused | Failed
+
+
+class Client(Protocol):
+    """Whoever sent a request."""
+
+    def answered(self, request: Request, answer: Answer) -> None:
+        """The one final answer."""
+
+
+class Exchange(Protocol):
+    """What a back does for one attempt."""
+
+    def stop(self, outcome: Outcome) -> None:
+        """Give the attempt up; it ends with ``outcome`` once nothing of it can run any more."""
+
+    def set_priority(self, priority: int) -> None: ...
+
+
+class Back(Protocol):
+    """Engines of one wire."""
+
+    def start(self, attempt: Attempt) -> Exchange: ...
+
+    def probe(self, engine: api.EngineId, done: Callable[[Outcome], None]) -> None: ...
+
+    def close_idle(self, engine: api.EngineId) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """What a client asks for. ``work`` is for its back; the core passes it on unseen."""
+
+    name: str
+    service_class: int
+    expires_in_us: int
+    work: object
+    client: Client
+    back: Back
+    cost_us: int | None = None
+    memory_mb: float = 0.0
+    group: int = 0
+    tenant: int = 0
+    is_repeat: bool = False
+    is_write: bool = False
+    handle: int = 0  # what its client knows it by
+
+    id: int = 0
+    deadline: int = 0
+    priority: int = 1
+    grant_mb: float = 0.0
+    over: bool = False
+    attempts: int = 0
+    out: dict[int, Attempt] = field(default_factory=dict)
+    guard: Timer | None = None
+
+
+class Attempt:
+    """One try of a request on one engine. Its back tells how it goes."""
+
+    def __init__(self, core: Core, request: Request, number: int, engine: api.EngineId, now: int) -> None:
+        self._core, self.request, self.number, self.engine, self.sent = core, request, number, engine, now
+        self.exchange: Exchange | None = None
+        self.limit: Timer | None = None
+        self.over = False
+
+    def ended(self, outcome: Outcome, result: object = None) -> None:
+        """Its one end. After it nothing of this attempt runs on any engine."""
+        if not self.over:
+            self.over = True
+            self._core.attempt_ended(self, outcome, result)
+
+    def noted(self, kind: api.NoteKind, value: float) -> None:
+        if not self.over:
+            self._core.tell(api.AttemptNote(self.request.id, self.number, self.engine, kind, value))
+
+
+class Core:
+    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, timers: Timers,
+                 decider: api.Decider, settings: api.Settings, max_open: int) -> None:
+        self._loop, self.clock, self.timers = loop, clock, timers
+        self._decider, self._settings, self._max_open = decider, settings, max_open
+        self._events: list[api.Event] = []
+        self._turn_due = False
+        self._next_id = 0
+        self.requests: dict[int, Request] = {}
+        self.backs: list[Back] = []
+        self.tell_peers: Callable[[bytes, int | None], None] = lambda body, to: None
+        self.idle: Callable[[], None] = lambda: None  # told when no request is left
+
+    def tell(self, event: api.Event) -> None:
+        """Keep an event for this turn's call of the decisions."""
+        self._events.append(event)
+        if not self._turn_due:
+            self._turn_due = True
+            self._loop.call_soon(self._turn)
+
+    # From the fronts
+
+    def submit(self, request: Request) -> None:
+        """Take a request; its client gets one answer, never within this call."""
+        self._next_id += 1
+        now = self.clock.now()
+        request.id, request.deadline = self._next_id, now + request.expires_in_us
+        if len(self.requests) >= self._max_open:
+            request.over = True
+            wait = self._settings.max_retry_after_us // 2
+            self._loop.call_soon(request.client.answered, request, Refused(wait))
+            return
+        self.requests[request.id] = request
+        request.guard = self.timers.at(request.deadline + GUARD_US, lambda: self._overdue(request))
+        self.tell(api.QueryArrived(
+            request.id, request.service_class, request.expires_in_us, request.cost_us, request.memory_mb,
+            float(request.group), 0, request.tenant, request.is_repeat, request.is_write))
+
+    def gone(self, request: Request) -> None:
+        """The client has left: no answer is owed any more."""
+        if not request.over:
+            self._conclude(request)
+            self.tell(api.QueryGone(request.id))
+
+    # From the backs
+
+    def attempt_ended(self, attempt: Attempt, outcome: Outcome, result: object) -> None:
+        request = attempt.request
+        if attempt.limit is not None:
+            attempt.limit.cancel()
+        del request.out[attempt.number]
+        if outcome is Outcome.OK:
+            self._answer(request, Served(result))
+        self.tell(api.AttemptEnded(request.id, attempt.number, attempt.engine, outcome,
+                                   self.clock.now() - attempt.sent, request.over))
+        self._forget(request)
+
+    # The turn
+
+    def _turn(self) -> None:
+        self._turn_due = False
+        events, self._events = self._events, []
+        now = self.clock.now()
+        try:
+            actions = self._decider.handle(now, events)
+        except Exception as problem:  # the clients are answered by the guard; others must not suffer
+            log("decisions", f"{type(problem).__name__}: {problem}")
+            return
+        for action in actions:
+            self._carry_out(action, now)
+
+    def _carry_out(self, action: api.Action, now: int) -> None:
+        match action:
+            case api.Dispatch(query, engine, limit):
+                self._dispatch(query, engine, limit, now)
+            case api.Cancel(query, number):
+                request = self.requests.get(query)
+                if request is not None and number in request.out:
+                    self._stop(request.out[number], Outcome.CANCELLED)
+            case api.Refuse(query, retry_after):
+                if query in self.requests:
+                    self._answer(self.requests[query], Refused(retry_after))
+            case api.Fail(query):
+                if query in self.requests:
+                    request = self.requests[query]
+                    self._answer(request, Failed("the query failed", now >= request.deadline - GUARD_US))
+            case api.SetTimer(token, at):
+                self.timers.at(at, lambda: self.tell(api.TimerFired(token)))
+            case api.SetTerms(query, priority, memory):
+                self._set_terms(query, priority, memory)
+            case api.Probe(engine):
+                self._probe(engine, now)
+            case api.CloseIdle(engine):
+                for back in self.backs:
+                    back.close_idle(engine)
+            case api.TellPeers(body, to):
+                self.tell_peers(body, to)
+            case api.Log(text):
+                log("decisions", text)
+            case api.WatchList() | api.FetchList():
+                pass  # the journal tells all of the list, asked or not, and comes back by itself after a cut
+
+    def _dispatch(self, query: int, engine: api.EngineId, limit: int, now: int) -> None:
+        request = self.requests.get(query)
+        if request is None:
+            return
+        attempt = Attempt(self, request, request.attempts, engine, now)
+        request.attempts += 1
+        request.out[attempt.number] = attempt
+        if request.over or attempt.number >= self._settings.max_attempts or now >= request.deadline:
+            attempt.ended(Outcome.MOOT)
+            return
+        if limit > 0:
+            attempt.limit = self.timers.at(now + limit, lambda: self._stop(attempt, Outcome.TIMEOUT))
+        attempt.exchange = request.back.start(attempt)
+
+    def _stop(self, attempt: Attempt, outcome: Outcome) -> None:
+        if attempt.exchange is not None and not attempt.over:
+            attempt.exchange.stop(outcome)
+
+    def _set_terms(self, query: int, priority: int, memory: float) -> None:
+        request = self.requests.get(query)
+        if request is None:
+            return
+        changed, request.priority, request.grant_mb = priority != request.priority, priority, memory
+        for attempt in list(request.out.values()):
+            if changed and attempt.exchange is not None:
+                attempt.exchange.set_priority(priority)
+
+    def _probe(self, engine: api.EngineId, now: int) -> None:
+        if self.backs:
+            self.backs[0].probe(engine, lambda outcome: self.tell(
+                api.ProbeEnded(engine, outcome, self.clock.now() - now)))
+
+    # Ends
+
+    def _overdue(self, request: Request) -> None:
+        """The decisions answer a little before each deadline; if they are stuck, their client is not."""
+        if self._turn_due:
+            self._turn()  # their own timer may be among this turn's events
+        if not request.over:
+            log("overdue", f"request {request.name} was not decided in time")
+            self._answer(request, Failed("the deadline has passed", late=True))
+            self.tell(api.QueryGone(request.id))
+            for attempt in list(request.out.values()):
+                self._stop(attempt, Outcome.CANCELLED)
+
+    def _answer(self, request: Request, answer: Answer) -> None:
+        if not request.over:
+            self._conclude(request)
+            request.client.answered(request, answer)
+
+    def _conclude(self, request: Request) -> None:
+        request.over = True
+        if request.guard is not None:
+            request.guard.cancel()
+        self._forget(request)
+
+    def _forget(self, request: Request) -> None:
+        """A request is kept until it is answered and all its attempts have ended."""
+        if request.over and not request.out and request.id in self.requests:
+            del self.requests[request.id]
+            if not self.requests:
+                self.idle()
--- /dev/null
+++ b/slipbay/core/timers.py
@@ -0,0 +1,59 @@
+"""All timers of the router: one heap, and at most one timer of the loop for its head."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+from collections.abc import Callable
+
+from slipbay.clock import Clock
+
+
+class Timer:
+    """One entry; cancelling leaves it in the heap, where it fires as nothing."""
+
+    __slots__ = ("when", "order", "action")
+
+    def __init__(self, when: int, order: int, action: Callable[[], None]) -> None:
+        self.when, self.order = when, order
+        self.action: Callable[[], None] | None = action
+
+    def __lt__(self, other: Timer) -> bool:
+        return (self.when, self.order) < (other.when, other.order)
+
+    def cancel(self) -> None:
+        self.action = None
+
+
+class Timers:
+    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock) -> None:
+        self._loop, self._clock = loop, clock
+        self._heap: list[Timer] = []
+        self._count = 0
+        self._alarm: asyncio.TimerHandle | None = None
+
+    def at(self, when: int, action: Callable[[], None]) -> Timer:
+        self._count += 1
+        timer = Timer(when, self._count, action)
+        heapq.heappush(self._heap, timer)
+        if self._heap[0] is timer:
+            self._arm()
+        return timer
+
+    def after(self, delay: int, action: Callable[[], None]) -> Timer:
+        return self.at(self._clock.now() + delay, action)
+
+    def _arm(self) -> None:
+        if self._alarm is not None:
+            self._alarm.cancel()
+        self._alarm = self._loop.call_at(self._heap[0].when / 1e6, self._fire)
+
+    def _fire(self) -> None:
+        self._alarm = None
+        now = self._clock.now()
+        while self._heap and (self._heap[0].when <= now or self._heap[0].action is None):
+            action = heapq.heappop(self._heap).action
+            if action is not None:
+                action()
+        if self._heap:
+            self._arm()
--- /dev/null
+++ b/slipbay/feed/journal.py
@@ -0,0 +1,156 @@
+"""The list of engines: events known at the start, then those that the journal service tells."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, TypeAlias
+
+from martenkeel import interface as api
+from slipbay.clock import Clock
+from slipbay.config import Config, ConfigError, address
+from slipbay.core.timers import Timer, Timers
+from slipbay.log import log
+from slipbay.stream import Address, Dial, Dialer, Stream
+from slipbay.wire.lines import Lines, LineTooLong
+
+STATES = {"SERVING": api.EngineState.READY, "DRAINING": api.EngineState.DRAINING,
+          "DELETED": api.EngineState.GONE}
+MOST_LINE_BYTES = 4 * 1024 * 1024
+SILENCE_US = 3_000_000  # a line comes each second; after three without one the connection is taken for dead
+RETRY_US, CONNECT_US = 200_000, 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """An engine with the address that it listens at."""
+
+    entry: api.EngineEntry
+    address: Address
+
+
+Told: TypeAlias = Callable[[api.ListKind, list[Host]], None]
+
+
+class Journal:
+    """Follows the journal service; a cut only costs time, as it resumes after the last event that it has."""
+
+    def __init__(self, config: Config, clock: Clock, timers: Timers, dialer: Dialer, told: Told) -> None:
+        self._config, self._clock, self._timers = config, clock, timers
+        self._dialer, self._told = dialer, told
+        self._zones = {name: number for number, name in enumerate(config.zones)}
+        self._kinds = {name: number for number, name in enumerate(config.kinds)}
+        self.pos = 0
+        self._stream: _Tail | None = None
+        self._dial: Dial | None = None
+        self._due: Timer | None = None
+
+    def start(self) -> None:
+        """Tell the list of the start as one, then follow its changes."""
+        hosts: dict[bytes, Host] = {}
+        for event in self._config.known.get("entries", []):
+            try:
+                pos, whole, changed = self._read(event)
+            except (ConfigError, KeyError, TypeError, ValueError, AttributeError) as problem:
+                raise ConfigError(f"known.entries: {problem}") from None
+            if whole:
+                hosts.clear()
+            hosts.update((host.entry.engine, host) for host in changed)
+            self.pos = max(self.pos, pos)
+        self.pos = max(self.pos, int(self._config.known.get("pos", 0)))
+        self._told(api.ListKind.CACHED, [
+            host for host in hosts.values() if host.entry.state is not api.EngineState.GONE])
+        self._connect()
+
+    def _read(self, event: dict[str, Any]) -> tuple[int, bool, list[Host]]:
+        return int(event["pos"]), bool(event["hosts"].get("whole")), [
+            self._host(item) for item in event["hosts"]["hosts"]]
+
+    def _host(self, item: dict[str, Any]) -> Host:
+        born = int(item.get("born_ms") or 0)
+        state = STATES[item["health"]]
+        gone = state is api.EngineState.GONE
+        return Host(api.EngineEntry(
+            engine=str(item["host"]).encode(), zone=self._zones.get(item.get("site", ""), 0),
+            kind=self._kinds.get(item.get("class", ""), 0), cell=int(item.get("block") or 0), state=state,
+            size=float(item.get("share") or 1.0),
+            ready_at_us=self._clock.from_unix_ms(born) if born > 0 else 0),
+            address(item.get("dial") or ("0.0.0.0:0" if gone else None), "dial"))
+
+    def _connect(self) -> None:
+        self._stream = _Tail(self)
+        self._dial = self._dialer.dial(
+            self._config.journal, self._stream, CONNECT_US, lambda refused: self._again())
+        if self._dial is not None:
+            self.heard()
+
+    def _again(self) -> None:
+        """Connect anew in a while."""
+        if self._due is not None:
+            self._due.cancel()
+        self._stream = None
+        self._due = self._timers.after(RETRY_US, self._connect)
+
+    def heard(self) -> None:
+        if self._due is not None:
+            self._due.cancel()
+        self._due = self._timers.after(SILENCE_US, self._silent)
+
+    def _silent(self) -> None:
+        log("journal", "no word from the journal service; connecting anew")
+        stream = self._stream
+        if self._dial is not None:
+            self._dial.give_up()
+        self._again()
+        if stream is not None:
+            stream.abort()
+
+    def cut(self, stream: _Tail) -> None:
+        if stream is self._stream:
+            log("journal", "the connection to the journal service ended; connecting anew")
+            self._again()
+
+    def take(self, stream: _Tail, line: bytes) -> None:
+        if stream is not self._stream:
+            return
+        self.heard()
+        try:
+            event = json.loads(line)
+            if "hosts" not in event:  # the sign of life of each second
+                if int(event["pos"]) > self.pos:
+                    log("journal", f"event {event['pos']} is out and {self.pos} is the last that came")
+                return
+            pos, whole, hosts = self._read(event)
+        except (ConfigError, KeyError, TypeError, ValueError, AttributeError, RecursionError) as problem:
+            log("journal", f"a line cannot be read: {type(problem).__name__}: {problem}")
+            return
+        if pos <= self.pos:
+            return  # told before the cut
+        if pos > self.pos + 1 and not whole:
+            log("journal", f"event {pos} came after {self.pos}; asking for those between")
+            stream.abort()
+            return
+        self.pos = pos
+        self._told(api.ListKind.FULL if whole else api.ListKind.DELTA, hosts)
+
+
+class _Tail(Stream):
+    def __init__(self, journal: Journal) -> None:
+        self._journal, self._lines = journal, Lines(MOST_LINE_BYTES)
+
+    def opened(self) -> None:
+        self.write(b"tail %d\n" % self._journal.pos)
+
+    def received(self, data: bytes) -> None:
+        try:
+            lines = self._lines.feed(data)
+        except LineTooLong:
+            self.abort()
+            return
+        for line in lines:
+            if line:
+                self._journal.take(self, line)
+
+    def ended(self) -> None:
+        self._journal.cut(self)
--- /dev/null
+++ b/slipbay/feed/peers.py
@@ -0,0 +1,50 @@
+"""Short messages between routers of a tier, over UDP."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import cast
+
+from slipbay.config import Config
+from slipbay.log import log
+from slipbay.stream import Address
+
+MOST_BYTES = 256
+
+
+class Peers(asyncio.DatagramProtocol):
+    """Messages arrive late or never; who sent one shows in its source address."""
+
+    def __init__(self, config: Config, told: Callable[[int, bytes], None]) -> None:
+        self._config, self._told = config, told
+        self._numbers = {peer: number for number, peer in enumerate(config.peers)}
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def start(self) -> None:
+        if self._config.peer_listen is not None and self._config.settings.may_tell:
+            loop = asyncio.get_running_loop()
+            await loop.create_datagram_endpoint(lambda: self, self._config.peer_listen)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.DatagramTransport, transport)  # asyncio's own is no subclass of it
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        number = self._numbers.get((addr[0], addr[1]))
+        if number is None:
+            log("peers", "a message from an address that no peer has")
+        elif number != self._config.settings.gateway and len(data) <= MOST_BYTES:
+            self._told(number, data)
+
+    def error_received(self, exc: Exception) -> None:
+        pass  # a peer that is down refuses; messages may be lost anyway
+
+    def send(self, body: bytes, to: int | None) -> None:
+        target = self._config.peers_all if to is None else (
+            self._config.peers[to] if to < len(self._config.peers) else None)
+        if self._transport is not None and target is not None and len(body) <= MOST_BYTES:
+            self._transport.sendto(body, target)
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
--- /dev/null
+++ b/slipbay/front/__init__.py
@@ -0,0 +1,1 @@
+"""Client connections: they accept, parse and answer, and hand requests to the core."""
--- /dev/null
+++ b/slipbay/front/jsonrpc.py
@@ -0,0 +1,109 @@
+"""The platform's front: JSON-RPC clients, many requests open on a connection."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from slipbay.config import Config
+from slipbay.core.router import Answer, Back, Core, Failed, Refused, Request, Served
+from slipbay.front.server import ClientConnection, Server
+from slipbay.log import log
+from slipbay.wire import jsonrpc, sql
+from slipbay.wire.lines import Lines, LineTooLong
+
+MOST_LINE_BYTES = 256 * 1024
+MOST_OPEN = 32  # requests on a connection
+
+
+class JsonRpcFront:
+    """What the connections of this front share."""
+
+    def __init__(self, config: Config, core: Core, back: Back, well: Callable[[], bool]) -> None:
+        self.core, self.back, self.well = core, back, well
+        self.classes = {name: number for number, name in enumerate(config.classes)}
+        self.tenants = {name: number for number, name in enumerate(config.tenants)}
+
+
+class JsonRpcConnection(ClientConnection):
+    def __init__(self, server: Server, front: JsonRpcFront) -> None:
+        super().__init__(server)
+        self._front, self._lines = front, Lines(MOST_LINE_BYTES)
+        self._open: dict[int, Request] = {}  # by the client's id
+        self._last_id = 0
+
+    @property
+    def busy(self) -> bool:
+        return bool(self._open)
+
+    def received(self, data: bytes) -> None:
+        self.touch()
+        try:
+            lines = self._lines.feed(data)
+        except LineTooLong:
+            log("client", "a line is too long; the connection is closed")
+            self.abort()
+            return
+        for line in lines:
+            if line:
+                self._take(line)
+
+    def _take(self, line: bytes) -> None:
+        try:
+            call = jsonrpc.parse(line)
+            if call.method == "cancelRequest":
+                self._cancel(call)
+            elif call.id is not None:
+                self._answer_call(call, call.id)
+        except jsonrpc.Problem as problem:
+            log("client", problem.text)
+            self.write(jsonrpc.error(problem.id, problem.code, problem.text))
+
+    def _cancel(self, call: jsonrpc.Call) -> None:
+        request = self._open.pop(jsonrpc.cancelled_id(call) or 0, None)
+        if request is not None:
+            self._front.core.gone(request)
+
+    def _answer_call(self, call: jsonrpc.Call, id: int) -> None:
+        if id <= self._last_id:
+            raise jsonrpc.Problem(id, jsonrpc.INVALID_REQUEST, "this id has been used on this connection")
+        self._last_id = id
+        if call.method == "alive":
+            self.write(jsonrpc.health(id, self._front.well()))
+            return
+        if call.method not in self._front.classes:
+            raise jsonrpc.Problem(id, jsonrpc.METHOD_NOT_FOUND, "no such method")
+        if len(self._open) >= MOST_OPEN:
+            raise jsonrpc.Problem(id, jsonrpc.INVALID_REQUEST, "too many requests are open here")
+        params = jsonrpc.read_query(call)
+        tenant = 0
+        if params.team is not None and self._front.tenants:
+            if params.team not in self._front.tenants:
+                raise jsonrpc.Problem(id, jsonrpc.INVALID_PARAMS, "team is not known here")
+            tenant = self._front.tenants[params.team]
+        request = Request(
+            params.txn, self._front.classes[call.method], params.limit_us, params.statement, self,
+            self._front.back, params.cost_us, params.memory_mb,
+            sql.table_group(params.statement.decode("utf-8", "replace")), tenant, params.is_repeat,
+            handle=id)
+        self._open[id] = request
+        self._front.core.submit(request)
+
+    def answered(self, request: Request, answer: Answer) -> None:
+        id = request.handle
+        if self._open.pop(id, None) is None:
+            return  # cancelled, or its connection is gone
+        match answer:
+            case Served(result):
+                assert isinstance(result, bytes)
+                self.write(jsonrpc.result(id, result))
+            case Refused(retry_after_us):
+                self.write(jsonrpc.error(id, jsonrpc.REFUSED, "refused for now", retry_after_us // 1000))
+            case Failed(reason):
+                self.write(jsonrpc.error(id, jsonrpc.FAILED, reason))
+        self.settled()
+
+    def ended(self) -> None:
+        super().ended()
+        for request in self._open.values():
+            self._front.core.gone(request)
+        self._open.clear()
--- /dev/null
+++ b/slipbay/front/server.py
@@ -0,0 +1,113 @@
+"""What the fronts share: listening, the number of clients, idle ones, slow readers, and the way out."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from slipbay.config import Limits
+from slipbay.core.timers import Timers
+from slipbay.log import log
+from slipbay.stream import Address, Stream
+
+IDLE_US = 30_000_000  # clients close theirs after 4 s; this is for those that forget
+SWEEP_US = 1_000_000
+
+
+class Server:
+    """All client connections of the process, whatever they speak."""
+
+    def __init__(self, timers: Timers, limits: Limits, now: Callable[[], int]) -> None:
+        self._timers, self._limits, self.now = timers, limits, now
+        self.connections: set[ClientConnection] = set()
+        self._listeners: list[asyncio.Server] = []
+        self.leaving = False  # the process is to end: connections close once nothing is open on them
+        self.emptied: Callable[[], None] = lambda: None
+        timers.after(SWEEP_US, self._sweep)
+
+    async def listen(self, address: Address, make: Callable[[], ClientConnection]) -> None:
+        loop = asyncio.get_running_loop()
+        self._listeners.append(await loop.create_server(make, *address, backlog=512))
+
+    @property
+    def listening(self) -> bool:
+        return bool(self._listeners)
+
+    def leave(self) -> None:
+        """Take no connections any more, and let go of those that are done."""
+        self.leaving = True
+        for listener in self._listeners:
+            listener.close()
+        self._listeners.clear()
+        for connection in list(self.connections):
+            connection.settled()
+        if not self.connections:
+            self.emptied()
+
+    def joined(self, connection: ClientConnection) -> None:
+        self.connections.add(connection)
+        if len(self.connections) > self._limits.client_sockets:
+            idle = [c for c in self.connections if not c.busy and c is not connection]
+            victim = min(idle, key=lambda c: c.touched) if idle else connection
+            log("client", "too many connections; one is closed")
+            victim.close()
+
+    def left(self, connection: ClientConnection) -> None:
+        self.connections.discard(connection)
+        if self.leaving and not self.connections:
+            self.emptied()
+
+    def _sweep(self) -> None:
+        """Idle connections go, and where slow readers hold too much memory, those that hold most of it."""
+        now = self.now()
+        for connection in list(self.connections):
+            if not connection.busy and now - connection.touched > IDLE_US:
+                connection.close() if not connection.unsent else connection.abort()
+        self.bound_unsent()
+        self._timers.after(SWEEP_US, self._sweep)
+
+    def bound_unsent(self) -> None:
+        waiting = sorted((c for c in self.connections if c.congested), key=lambda c: c.unsent)
+        total = sum(c.unsent for c in waiting)
+        while waiting and total > self._limits.unsent_bytes:
+            slowest = waiting.pop()
+            total -= slowest.unsent
+            log("client", f"a slow reader is cut off with {slowest.unsent} bytes unsent")
+            slowest.abort()
+
+
+class ClientConnection(Stream):
+    """A client's connection; fronts add their wire to it."""
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.touched = server.now()
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is open on it."""
+        raise NotImplementedError
+
+    def touch(self) -> None:
+        self.touched = self.server.now()
+
+    def opened(self) -> None:
+        self.server.joined(self)
+
+    def ended(self) -> None:
+        self.server.left(self)
+
+    def settled(self) -> None:
+        """A request was answered; on the way out the connection closes with its last one."""
+        self.touch()
+        if self.server.leaving and not self.busy:
+            self.close()
+
+    def flow_changed(self) -> None:
+        """A client that does not read its answers gets to send no further requests meanwhile."""
+        if self.transport is not None and not self.transport.is_closing():
+            if self.congested:
+                self.transport.pause_reading()
+                self.server.bound_unsent()
+            else:
+                self.transport.resume_reading()
--- /dev/null
+++ b/slipbay/stream.py
@@ -0,0 +1,174 @@
+"""What all TCP connections share: one receive buffer, writes with back-pressure, and dialling."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Callable
+
+from slipbay.core.timers import Timers
+
+Address = tuple[str, int]
+
+RECEIVE_BYTES = 64 * 1024
+_RECEIVE = bytearray(RECEIVE_BYTES)
+_VIEW = memoryview(_RECEIVE)
+
+
+class Stream(asyncio.BufferedProtocol):
+    """A connection as an object with callbacks.
+
+    All connections read into one buffer: asyncio fills it and calls ``buffer_updated`` in one go, so that
+    a thousand silent connections hold no memory for what they might send.
+    """
+
+    transport: asyncio.Transport | None = None
+    sock: socket.socket | None = None  # of a connection that we dialled
+    lost = False
+    unsent_at_loss = 0  # bytes that the system had not taken when the connection ended
+    congested = False  # more bytes wait to be written than the transport likes
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.opened()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return _VIEW
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.received(bytes(_VIEW[:nbytes]))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if not self.lost:
+            self.unsent_at_loss = self.unsent
+            self.lost = True
+            self.ended()
+
+    def pause_writing(self) -> None:
+        self.congested = True
+        self.flow_changed()
+
+    def resume_writing(self) -> None:
+        self.congested = False
+        self.flow_changed()
+
+    def write(self, data: bytes) -> None:
+        if self.transport is not None and not self.lost and not self.transport.is_closing():
+            self.transport.write(data)
+
+    @property
+    def unsent(self) -> int:
+        """Bytes that have not yet been handed to the system."""
+        return self.transport.get_write_buffer_size() if self.transport is not None else 0
+
+    def stale(self) -> bool:
+        """Whether the other side has closed, or sent what nobody asked for, and we have not read it yet."""
+        if self.lost or self.transport is None or self.transport.is_closing() or self.sock is None:
+            return True
+        try:
+            self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    def close(self) -> None:
+        """Close once everything written has been sent."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    # For those who build on it
+
+    def opened(self) -> None: ...
+
+    def received(self, data: bytes) -> None: ...
+
+    def ended(self) -> None: ...
+
+    def flow_changed(self) -> None: ...
+
+
+class Dial:
+    """One connection on its way up. Exactly one of connecting, ``failed`` and ``give_up`` ends it."""
+
+    def __init__(self, dialer: Dialer, address: Address, stream: Stream, timeout_us: int,
+                 failed: Callable[[bool], None]) -> None:
+        self._dialer, self._stream, self._failed = dialer, stream, failed
+        self._waiting = True
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        try:
+            self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._sock.connect_ex(address)
+            dialer.loop.add_writer(self._sock.fileno(), self._writable)
+        except OSError:
+            self._sock.close()
+            raise
+        self._timer = dialer.timers.after(timeout_us, self._timed_out)
+
+    def _stop_waiting(self) -> None:
+        self._waiting = False
+        self._timer.cancel()
+        self._dialer.loop.remove_writer(self._sock.fileno())
+
+    def _writable(self) -> None:
+        self._stop_waiting()
+        if self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self._sock.close()
+            self._failed(True)
+        else:
+            self._dialer.hand_over(self._stream, self._sock)
+
+    def _timed_out(self) -> None:
+        self.give_up()
+        self._failed(False)
+
+    def give_up(self) -> None:
+        if self._waiting:
+            self._stop_waiting()
+            self._sock.close()
+
+
+class Dialer:
+    """Opens connections. One task serves them all: asyncio makes transports in coroutines only."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, timers: Timers) -> None:
+        self.loop, self.timers = loop, timers
+        self._ready: deque[tuple[Stream, socket.socket]] = deque()
+        self._wake = asyncio.Event()
+        self._task = loop.create_task(self._serve())
+
+    def dial(self, address: Address, stream: Stream, timeout_us: int,
+             failed: Callable[[bool], None]) -> Dial | None:
+        """Start to connect; ``stream.opened`` or ``failed(refused)`` follows, never within this call.
+
+        None, and ``failed(False)`` soon, where the system has no descriptor left.
+        """
+        try:
+            return Dial(self, address, stream, timeout_us, failed)
+        except OSError:
+            self.timers.after(0, lambda: failed(False))
+            return None
+
+    def hand_over(self, stream: Stream, sock: socket.socket) -> None:
+        stream.sock = sock
+        self._ready.append((stream, sock))
+        self._wake.set()
+
+    async def _serve(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._ready:
+                stream, sock = self._ready.popleft()
+                try:
+                    await self.loop.create_connection(lambda stream=stream: stream, sock=sock)  # type: ignore[misc]
+                except OSError:
+                    sock.close()
+                    stream.connection_lost(None)
--- /dev/null
+++ b/slipbay/wire/http1.py
@@ -0,0 +1,141 @@
+"""HTTP/1.1 as engines speak it: requests out, responses in, one call at a time."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+MOST_HEAD_BYTES, MOST_BODY_BYTES = 16 * 1024, 1024 * 1024
+
+
+class MalformedResponse(Exception):
+    """What came is no response; the connection can't be used any more."""
+
+
+@dataclass(slots=True, frozen=True)
+class Response:
+    status: int
+    headers: dict[str, str]  # names in lower case
+    body: bytes
+    keep: bool = True  # the connection serves further calls
+
+
+def request(method: str, path: str, host: str, headers: Iterable[tuple[str, str]] = (),
+            body: bytes | None = None) -> bytes:
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {host}", *(f"{name}: {value}" for name, value in headers)]
+    if body is not None:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join((*lines, "", "")).encode("latin-1") + (body or b"")
+
+
+class Responses:
+    """Takes bytes in any chunking and gives whole responses."""
+
+    def __init__(self) -> None:
+        self._data = bytearray()
+        self._head: tuple[int, dict[str, str], bool] | None = None
+        self._body = bytearray()  # chunks so far
+        self._scanned = 0
+
+    def feed(self, data: bytes) -> list[Response]:
+        self._data += data
+        found = []
+        while (response := self._next()) is not None:
+            found.append(response)
+        return found
+
+    def _next(self) -> Response | None:
+        if self._head is None and not self._read_head():
+            return None
+        assert self._head is not None
+        status, headers, keep = self._head
+        if status < 200:  # an interim response: the final one follows
+            self._head = None
+            return self._next()
+        if status in (204, 304):
+            body: bytes | None = b""
+        elif "transfer-encoding" in headers:
+            body = self._read_chunks()
+        else:
+            body = self._read_sized(headers)
+        if body is None:
+            return None
+        self._head = None
+        return Response(status, headers, body, keep)
+
+    def _read_head(self) -> bool:
+        end = self._data.find(b"\r\n\r\n", max(0, self._scanned - 3))
+        if max(end, 0) > MOST_HEAD_BYTES or end < 0 and len(self._data) > MOST_HEAD_BYTES:
+            raise MalformedResponse("the head is too long")
+        if end < 0:
+            self._scanned = len(self._data)
+            return False
+        first, *lines = bytes(self._data[:end]).decode("latin-1").split("\r\n")
+        del self._data[:end + 4]
+        self._scanned = 0
+        version, _, rest = first.partition(" ")
+        status = rest[:3]
+        if version not in ("HTTP/1.1", "HTTP/1.0") or not (status.isascii() and status.isdigit()):
+            raise MalformedResponse("no status line")
+        headers: dict[str, str] = {}
+        for line in lines:
+            name, colon, value = line.partition(":")
+            if not colon or not name or name != name.strip():
+                raise MalformedResponse("no header line")
+            headers[name.lower()] = value.strip()
+        connection = headers.get("connection", "").lower()
+        keep = connection != "close" if version == "HTTP/1.1" else connection == "keep-alive"
+        self._head = int(status), headers, keep
+        return True
+
+    def _read_sized(self, headers: dict[str, str]) -> bytes | None:
+        told = headers.get("content-length", "")
+        if not (told.isascii() and told.isdigit()) or len(told) > 9 or int(told) > MOST_BODY_BYTES:
+            raise MalformedResponse("no body length that can be taken")
+        size = int(told)
+        if len(self._data) < size:
+            return None
+        return self._take(size)
+
+    def _read_chunks(self) -> bytes | None:
+        assert self._head is not None
+        if self._head[1]["transfer-encoding"].lower() != "chunked":
+            raise MalformedResponse("a transfer coding that is not known")
+        while (end := self._data.find(b"\r\n")) >= 0:
+            told = bytes(self._data[:end]).split(b";")[0].strip()
+            try:
+                size = int(told, 16) if told.isalnum() and len(told) < 8 else -1
+            except ValueError:
+                size = -1
+            if size < 0 or len(self._body) + size > MOST_BODY_BYTES:
+                raise MalformedResponse("no chunk size that can be taken")
+            if size == 0:
+                return self._read_trailers(end)
+            if len(self._data) < end + 2 + size + 2:
+                return None
+            self._take(end + 2)
+            self._body += self._take(size)
+            if self._take(2) != b"\r\n":
+                raise MalformedResponse("a chunk does not end")
+        if len(self._data) > MOST_HEAD_BYTES:
+            raise MalformedResponse("no chunk size")
+        return None
+
+    def _read_trailers(self, end: int) -> bytes | None:
+        """The last chunk's line ends at ``end``; trailers are skipped up to the empty line."""
+        if self._data[end:end + 4] == b"\r\n\r\n":
+            self._take(end + 4)
+        else:
+            last = self._data.find(b"\r\n\r\n", end)
+            if last < 0:
+                if len(self._data) > MOST_HEAD_BYTES:
+                    raise MalformedResponse("the trailers are too long")
+                return None
+            self._take(last + 4)
+        body, self._body = bytes(self._body), bytearray()
+        return body
+
+    def _take(self, size: int) -> bytes:
+        taken = bytes(self._data[:size])
+        del self._data[:size]
+        return taken
--- /dev/null
+++ b/slipbay/wire/jsonrpc.py
@@ -0,0 +1,120 @@
+"""JSON-RPC 2.0, one message to a line, as the platform's clients speak it."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import json
+import math
+import re
+from dataclasses import dataclass
+from typing import Any
+
+PARSE_ERROR, INVALID_REQUEST, METHOD_NOT_FOUND, INVALID_PARAMS = -32700, -32600, -32601, -32602
+FAILED, REFUSED = -32000, -32002
+
+MOST_LIMIT_MS = 24 * 3600 * 1000
+_TXN = re.compile(r"[0-9a-fA-F]{16}")
+
+
+class Problem(Exception):
+    """A message that can't be served: its id where it can be read, a standard code and a sentence."""
+
+    def __init__(self, id: int | None, code: int, text: str) -> None:
+        super().__init__(text)
+        self.id, self.code, self.text = id, code, text
+
+
+@dataclass(slots=True, frozen=True)
+class Call:
+    """A message; ``id`` is None for a notification."""
+
+    id: int | None
+    method: str
+    params: dict[str, Any]
+
+
+@dataclass(slots=True, frozen=True)
+class QueryParams:
+    txn: str
+    limit_us: int
+    team: str | None
+    is_repeat: bool
+    cost_us: int | None
+    memory_mb: float
+    statement: bytes
+
+
+def _is_id(value: object) -> bool:
+    return type(value) is int and 0 < value < 2**53
+
+
+def parse(line: bytes) -> Call:
+    try:
+        message = json.loads(line)
+    except (ValueError, RecursionError):
+        raise Problem(None, PARSE_ERROR, "the line is not JSON") from None
+    if not isinstance(message, dict):
+        raise Problem(None, INVALID_REQUEST, "a message is one object; batches are not served")
+    id = message.get("id")
+    if id is not None and not _is_id(id):
+        raise Problem(None, INVALID_REQUEST, "id is a whole number from 1")
+    method, params = message.get("method"), message.get("params", {})
+    if message.get("jsonrpc") != "2.0" or not isinstance(method, str):
+        raise Problem(id, INVALID_REQUEST, "want jsonrpc 2.0 and a method's name")
+    if not isinstance(params, dict):
+        raise Problem(id, INVALID_PARAMS, "params is an object")
+    return Call(id, method, params)
+
+
+def cancelled_id(call: Call) -> int | None:
+    """Which request a ``cancelRequest`` names."""
+    named = call.params.get("id", call.id)
+    return named if _is_id(named) else None
+
+
+def read_query(call: Call) -> QueryParams:
+    def number(name: str, most: float) -> float | None:
+        value = call.params.get(name)
+        if value is None:
+            return None
+        if type(value) not in (int, float) or not math.isfinite(value) or not 0 <= value <= most:
+            raise Problem(call.id, INVALID_PARAMS, f"{name} is a number from 0 to {most:g}")
+        return float(value)
+
+    def text(name: str) -> str | None:
+        value = call.params.get(name)
+        if value is not None and not isinstance(value, str):
+            raise Problem(call.id, INVALID_PARAMS, f"{name} is a string")
+        return value
+
+    txn, limit, data = text("txn"), number("limit", MOST_LIMIT_MS), text("data")
+    if txn is None or not _TXN.fullmatch(txn):
+        raise Problem(call.id, INVALID_PARAMS, "txn is 16 hex digits")
+    if limit is None:
+        raise Problem(call.id, INVALID_PARAMS, "limit is missing")
+    try:
+        statement = base64.b64decode(data or "", validate=True)
+    except (binascii.Error, ValueError):
+        raise Problem(call.id, INVALID_PARAMS, "data is not base64") from None
+    if not statement:
+        raise Problem(call.id, INVALID_PARAMS, "data holds no statement")
+    cpu = number("cpu", 4_000_000)
+    return QueryParams(txn, int(limit * 1000), text("team"), call.params.get("second") in (1, "1", True),
+                       None if cpu is None else int(cpu * 1000), number("ram", 1e9) or 0.0, statement)
+
+
+def result(id: int, data: bytes) -> bytes:
+    return b'{"jsonrpc":"2.0","id":%d,"result":{"data":"%s"}}\n' % (id, base64.b64encode(data))
+
+
+def health(id: int, well: bool) -> bytes:
+    return b'{"jsonrpc":"2.0","id":%d,"result":{"well":%s}}\n' % (id, b"true" if well else b"false")
+
+
+def error(id: int | None, code: int, text: str, later_ms: int | None = None) -> bytes:
+    body: dict[str, Any] = {"code": code, "message": text}
+    if later_ms is not None:
+        body["data"] = {"later": later_ms}
+    message = {"jsonrpc": "2.0", "id": id, "error": body}
+    return json.dumps(message, separators=(",", ":")).encode() + b"\n"
