--- a/slipbay/__main__.py
+++ b/slipbay/__main__.py
@@ -11,14 +11,16 @@
 from martenkeel import Controller
 from martenkeel import interface as api
 from slipbay.back.http import HttpBack
+from slipbay.back.mysql import MysqlBack
 from slipbay.back.pool import Sockets
 from slipbay.clock import Clock
 from slipbay.config import Config, ConfigError, load
-from slipbay.core.router import Core
+from slipbay.core.router import Core, Host
 from slipbay.core.timers import Timers
-from slipbay.feed.journal import Host, Journal
+from slipbay.feed.journal import Journal
 from slipbay.feed.peers import Peers
 from slipbay.front.jsonrpc import JsonRpcConnection, JsonRpcFront
+from slipbay.front.mysql import MysqlConnection, MysqlFront
 from slipbay.front.server import Server
 from slipbay.log import log
 from slipbay.stream import Dialer
@@ -36,9 +38,14 @@
         self.dialer = Dialer(loop, self.timers)
         self.core = Core(loop, self.clock, self.timers, Controller(config.settings, config.seed),
                          config.settings, config.max_open)
-        self.back = HttpBack(config, self.timers, self.dialer, Sockets(config.limits.engine_sockets),
-                             self.clock.now)
+        sockets = Sockets(config.limits.engine_sockets)
+        self.back = HttpBack(config, self.timers, self.dialer, sockets, self.clock.now)
         self.core.backs.append(self.back)
+        self.mysql_back: MysqlBack | None = None
+        if config.mysql is not None:
+            self.mysql_back = MysqlBack(
+                config, config.mysql, self.timers, self.dialer, sockets, self.clock.now)
+            self.core.backs.append(self.mysql_back)
         self.journal = Journal(config, self.clock, self.timers, self.dialer, self._listed)
         self.peers = Peers(config, lambda sender, body: self.core.tell(api.PeerMessage(sender, body)))
         self.core.tell_peers = self.peers.send
@@ -49,7 +56,8 @@
 
     def _listed(self, kind: api.ListKind, hosts: list[Host]) -> None:
         self._has_list = self._has_list or bool(hosts)
-        self.back.listed(kind, hosts)
+        for back in self.core.backs:
+            back.listed(kind, hosts)
         self.core.tell(api.EngineList(kind, tuple(host.entry for host in hosts)))
 
     def well(self) -> bool:
@@ -61,6 +69,10 @@
         self.journal.start()
         front = JsonRpcFront(self.config, self.core, self.back, self.well)
         await self.server.listen(self.config.listen, lambda: JsonRpcConnection(self.server, front))
+        if self.config.mysql is not None and self.mysql_back is not None:
+            mysql_front = MysqlFront(self.config, self.config.mysql, self.core, self.mysql_back)
+            await self.server.listen(self.config.mysql.listen,
+                                     lambda: MysqlConnection(self.server, mysql_front))
         log("start", f"{self.config.name} listens at %s:%d" % self.config.listen)
 
     def end(self) -> None:
--- a/slipbay/back/http.py
+++ b/slipbay/back/http.py
@@ -12,9 +12,8 @@
 from martenkeel.interface import EngineId, Outcome
 from slipbay.back.pool import Pool, PooledStream, Sockets, Trouble, Wait
 from slipbay.config import Config
-from slipbay.core.router import Attempt, Exchange
+from slipbay.core.router import Attempt, Exchange, Host
 from slipbay.core.timers import Timer, Timers
-from slipbay.feed.journal import Host
 from slipbay.log import log
 from slipbay.stream import Dialer
 from slipbay.wire import http1
@@ -100,7 +99,6 @@
         self._pages: list[bytes] = []
         self._sheets = 0
         self._over = False
-        self._posts = 0
         self._wait = pool.acquire(self._post, self._unreachable)
 
     # Asking
@@ -114,7 +112,6 @@
             headers.append(("X-Allot", f"{request.grant_mb:.0f}"))
         assert isinstance(request.work, bytes)
         self._wait, self._posted = None, True
-        self._posts += 1
         self._call(connection, http1.request("POST", "/obj", self._pool_host(), headers, request.work))
 
     def _ask(self, connection: HttpConnection) -> None:
@@ -129,7 +126,7 @@
     def _call(self, connection: HttpConnection, request: bytes) -> None:
         self._main, self._asked = connection, self._back.now()
         connection.call(request, self._asked, lambda response: self._responded(connection, response),
-                        lambda: self._cut(connection))
+                        self._cut)
         if self._check is None:
             self._check = self._back.timers.at(self._asked + OVERDUE_US, self._check_on)
 
@@ -219,15 +216,11 @@
 
     # Trouble
 
-    def _cut(self, connection: HttpConnection) -> None:
+    def _cut(self) -> None:
         """The connection broke under a call: the query may run on."""
         self._main = None
         if self._stopping is not None:
             self._delete()
-        elif not self._answered and connection.unsent_at_loss and self._posts < 3:
-            # The POST did not arrive whole, so nothing ran: it may be sent again.
-            self._posted = False
-            self._wait = self._pool.acquire(self._post, self._unreachable, fresh=True)
         else:
             self._look_again()
 
--- a/slipbay/back/pool.py
+++ b/slipbay/back/pool.py
@@ -21,6 +21,8 @@
 
     REFUSED = auto()  # the machine answers, the process does not run
     SILENT = auto()  # nothing came back in time
+    BROKEN = auto()  # it came up and broke before it could be used
+    FULL = auto()  # the engine takes no more connections
     NO_ROOM = auto()  # we hold all the sockets that we may
 
 
@@ -33,6 +35,7 @@
         self.abandoned = False  # its call's answer is awaited only to be thrown away
         self.usable: Callable[[], None] = lambda: None
         self.broken: Callable[[], None] = lambda: None
+        self.trouble = Trouble.BROKEN  # what it means if it ends before it can be used
 
     def release(self) -> None:
         """The call is over; the connection may serve the next one."""
@@ -105,10 +108,10 @@
         sockets.pools.append(self)  # type: ignore[arg-type]
 
     def acquire(self, done: Callable[[C], None], failed: Callable[[Trouble], None],
-                fresh: bool = False) -> Wait[C]:
+                fresh: bool = False) -> Wait[C] | None:
         """A connection for one call; ``fresh`` for one that is proven to come up now.
 
-        An idle one is handed over within this call; failures come later.
+        An idle one is handed over within this call, and there is nothing to wait for; all else comes later.
         """
         wait = Wait(done, failed)
         while self.idle and not fresh:
@@ -116,9 +119,8 @@
             if stream.stale():
                 stream.abort()
                 continue
-            wait.finish()
             done(stream)
-            return wait
+            return None
         if not self._sockets.make_room():
             log("pool", "no sockets are left for engine connections")
             wait.timer = self._timers.after(0, lambda: self._fail(wait, Trouble.NO_ROOM))
@@ -128,7 +130,7 @@
         self._held.add(stream)
         self._sockets.used += 1
         stream.usable = lambda: self._usable(wait, stream)
-        stream.broken = lambda: self._fail(wait, Trouble.REFUSED)
+        stream.broken = lambda: self._fail(wait, stream.trouble)
         wait.timer = self._timers.after(self._connect_us, lambda: self._fail(wait, Trouble.SILENT))
         wait.dial = self._dialer.dial(
             self.address, stream, self._connect_us,
--- a/slipbay/config.py
+++ b/slipbay/config.py
@@ -4,18 +4,23 @@
 
 import ipaddress
 import json
-from collections.abc import Mapping
-from dataclasses import dataclass, field
+import re
+import tomllib
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
 from martenkeel import interface as api
 from martenkeel.wire import MalformedFrame, settings_from
 from slipbay.stream import Address
+from slipbay.wire.spiffe import InvalidId, check_id
 
 DEFAULT_MEMORY_MB, DEFAULT_SOCKETS = 192, 1024
 DEFAULT_CONNECT_TIMEOUT_US, DEFAULT_IDLE_US = 250_000, 30_000_000
 DEFAULT_MAX_OPEN = 4096
+DEFAULT_PACKET_BYTES, DEFAULT_MYSQL_IDLE_S = 1024 * 1024, 600.0
+MYSQL_FILE = Path(__file__).parent.parent / "deploy" / "mysql.toml"
 
 
 class ConfigError(Exception):
@@ -63,7 +68,58 @@
     connect_timeout_us: int
     idle_us: int
     max_open: int
-    environment: Mapping[str, str] = field(default_factory=dict)
+    mysql: MysqlConfig | None = None  # None: the MySQL front is off
+
+
+@dataclass(frozen=True)
+class ClassRule:
+    """Statements that a pattern finds something in belong to a class."""
+
+    pattern: re.Pattern[str]
+    service_class: int
+
+
+@dataclass(frozen=True)
+class Estimate:
+    cost_us: int | None
+    memory_mb: float
+
+
+@dataclass(frozen=True)
+class User:
+    tenant: int
+    password: bytes
+
+
+@dataclass(frozen=True)
+class SpiffeConfig:
+    trust_domain: str
+    certificate: Path
+    key: Path
+    bundle: Path
+    tenants: Mapping[str, int]  # by SPIFFE ID
+
+
+@dataclass(frozen=True)
+class MysqlConfig:
+    """The MySQL front and its engines."""
+
+    listen: Address
+    schema: str
+    most_packet_bytes: int
+    idle_us: int
+    hint: str
+    read_class: int
+    write_class: int
+    prepare_class: int
+    rules: tuple[ClassRule, ...]
+    deadlines_us: tuple[int, ...]  # by class
+    estimates: tuple[Estimate, ...]  # by class
+    users: Mapping[str, User]
+    engines: Mapping[bytes, Address]
+    engine_user: str
+    engine_password: bytes
+    spiffe: SpiffeConfig | None
 
 
 def address(value: object, key: str) -> Address:
@@ -165,8 +221,7 @@
         kinds=info.names("kinds"),
         connect_timeout_us=int(policy.number("connectTimeoutUs", 1, DEFAULT_CONNECT_TIMEOUT_US)),
         idle_us=int(policy.number("connIdleUs", 1, DEFAULT_IDLE_US)),
-        max_open=min(DEFAULT_MAX_OPEN, int(policy.number("maxOpen", 1, DEFAULT_MAX_OPEN))),
-        environment=environment)
+        max_open=min(DEFAULT_MAX_OPEN, int(policy.number("maxOpen", 1, DEFAULT_MAX_OPEN))))
 
 
 def load(environment: Mapping[str, str]) -> Config:
@@ -175,6 +230,100 @@
     if not path:
         raise ConfigError("GW_CONFIG: want the path of the configuration")
     try:
-        return from_json(Path(path).read_bytes(), environment)
+        config = from_json(Path(path).read_bytes(), environment)
     except OSError as problem:
         raise ConfigError(f"GW_CONFIG: {path} cannot be read: {problem.strerror}") from None
+    return replace(config, mysql=load_mysql(config, Path(environment.get("SLIPBAY_MYSQL") or MYSQL_FILE)))
+
+
+def load_mysql(config: Config, path: Path) -> MysqlConfig | None:
+    """The file that says where the MySQL front listens; None if it is absent or says ``enabled = false``."""
+    try:
+        keys = Keys(tomllib.loads(path.read_text()))
+    except FileNotFoundError:
+        return None
+    except (OSError, ValueError) as problem:
+        raise ConfigError(f"{path.name}: {problem}") from None
+    try:
+        enabled = keys.get("enabled", bool, "true or false", False)
+        return _mysql(config, keys, path.parent) if enabled else None
+    except ConfigError as problem:
+        raise ConfigError(f"{path.name}: {problem}") from None
+
+
+def _mysql(config: Config, keys: Keys, folder: Path) -> MysqlConfig:
+    classes, deadlines = keys.part("classes"), keys.part("deadline_ms", {})
+    estimates = keys.part("estimates", {})
+
+    def choice(part: Keys, key: str, names: tuple[str, ...]) -> int:
+        """Which of the names a key holds."""
+        name = part.text(key)
+        if name not in names:
+            raise ConfigError(f"{part.name(key)}: want one of {', '.join(names)}; got {name!r}")
+        return names.index(name)
+
+    def secret(part: Keys, key: str) -> bytes:
+        """The first line of a file; no password stands in the configuration itself."""
+        file = folder / part.text(key)
+        try:
+            return file.read_bytes().split(b"\n")[0].rstrip(b"\r")
+        except OSError as problem:
+            raise ConfigError(f"{part.name(key)}: {file} cannot be read: {problem.strerror}") from None
+
+    def estimate(name: str) -> Estimate:
+        part = estimates.part(name, {})
+        cost = part.number("cpu_ms", 0) if "cpu_ms" in part.data else None
+        return Estimate(None if cost is None else int(cost * 1000), part.number("ram_mb", 0, 0.0))
+
+    def rule(number: int, item: object) -> ClassRule:
+        part = Keys(item, f"classes.rules[{number}]")
+        try:
+            pattern = re.compile(part.text("pattern"), re.I | re.S)
+        except re.error as problem:
+            raise ConfigError(f"{part.name('pattern')}: {problem}") from None
+        return ClassRule(pattern, choice(part, "class", config.classes))
+
+    prepare, write = choice(classes, "prepare", config.classes), choice(classes, "write", config.classes)
+    if config.settings.classes[prepare].effect is not api.Effect.SAFE:
+        raise ConfigError("classes.prepare: want a class that is safe to repeat")
+    if config.settings.classes[write].effect is not api.Effect.UNSAFE:
+        raise ConfigError("classes.write: want a class that is never run twice")
+    for part in (deadlines, estimates):
+        for name in part.data.keys() - set(config.classes):
+            raise ConfigError(f"{part.name(name)}: no such class")
+    engines, login, users = keys.part("engines"), keys.part("engine_login"), keys.part("users", {})
+    spiffe = _spiffe(keys.part("spiffe"), config, choice, folder) if "spiffe" in keys.data else None
+    if not users.data and spiffe is None:
+        raise ConfigError("users: want at least one, or a part spiffe")
+    return MysqlConfig(
+        listen=address(keys.text("listen"), "listen"),
+        schema=keys.text("schema", ""),
+        most_packet_bytes=int(keys.number("max_packet_bytes", 1024, DEFAULT_PACKET_BYTES)),
+        idle_us=int(keys.number("idle_s", 1, DEFAULT_MYSQL_IDLE_S) * 1_000_000),
+        hint=keys.text("hint", "slipbay"),
+        read_class=choice(classes, "read", config.classes), write_class=write, prepare_class=prepare,
+        rules=tuple(rule(n, item) for n, item in enumerate(classes.get("rules", list, "a list", []))),
+        deadlines_us=tuple(
+            int(deadlines.number(name, 1, spec.deadline_us / 1000) * 1000)
+            for name, spec in zip(config.classes, config.settings.classes, strict=True)),
+        estimates=tuple(map(estimate, config.classes)),
+        users={name: User(choice(users.part(name), "tenant", config.tenants),
+                          secret(users.part(name), "password_file")) for name in users.data},
+        engines={name.encode(): address(value, engines.name(name)) for name, value in engines.data.items()},
+        engine_user=login.text("user"), engine_password=secret(login, "password_file"),
+        spiffe=spiffe)
+
+
+def _spiffe(keys: Keys, config: Config, choice: Callable[[Keys, str, tuple[str, ...]], int],
+            folder: Path) -> SpiffeConfig:
+    domain, tenants = keys.text("trust_domain"), keys.part("tenants")
+    for id in tenants.data:
+        try:
+            found = check_id(id)
+        except InvalidId as problem:
+            raise ConfigError(f"{tenants.name(id)}: {problem}") from None
+        if found != domain:
+            raise ConfigError(f"{tenants.name(id)}: want an ID of the trust domain {domain}")
+    return SpiffeConfig(domain, folder / keys.text("certificate"), folder / keys.text("key"),
+                        folder / keys.text("bundle"),
+                        {id: choice(tenants, id, config.tenants) for id in tenants.data})
--- a/slipbay/core/router.py
+++ b/slipbay/core/router.py
@@ -40,6 +40,14 @@
 Answer: TypeAlias = Served | Refused | Failed
 
 
+@dataclass(frozen=True, slots=True)
+class Host:
+    """An engine with the address that it listens at."""
+
+    entry: api.EngineEntry
+    address: tuple[str, int]
+
+
 class Client(Protocol):
     """Whoever sent a request."""
 
@@ -59,12 +67,16 @@
 class Back(Protocol):
     """Engines of one wire."""
 
-    def start(self, attempt: Attempt) -> Exchange: ...
+    def start(self, attempt: Attempt) -> Exchange | None:
+        """Begin; None where the attempt has ended at once."""
 
     def probe(self, engine: api.EngineId, done: Callable[[Outcome], None]) -> None: ...
 
     def close_idle(self, engine: api.EngineId) -> None: ...
 
+    def listed(self, kind: api.ListKind, hosts: list[Host]) -> None:
+        """News of engines and of where they listen."""
+
 
 @dataclass(slots=True, eq=False)
 class Request:
--- a/slipbay/feed/journal.py
+++ b/slipbay/feed/journal.py
@@ -4,15 +4,15 @@
 
 import json
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any, TypeAlias
 
 from martenkeel import interface as api
 from slipbay.clock import Clock
 from slipbay.config import Config, ConfigError, address
+from slipbay.core.router import Host
 from slipbay.core.timers import Timer, Timers
 from slipbay.log import log
-from slipbay.stream import Address, Dial, Dialer, Stream
+from slipbay.stream import Dial, Dialer, Stream
 from slipbay.wire.lines import Lines, LineTooLong
 
 STATES = {"SERVING": api.EngineState.READY, "DRAINING": api.EngineState.DRAINING,
@@ -22,14 +22,6 @@
 RETRY_US, CONNECT_US = 200_000, 1_000_000
 
 
-@dataclass(frozen=True, slots=True)
-class Host:
-    """An engine with the address that it listens at."""
-
-    entry: api.EngineEntry
-    address: Address
-
-
 Told: TypeAlias = Callable[[api.ListKind, list[Host]], None]
 
 
--- a/slipbay/front/jsonrpc.py
+++ b/slipbay/front/jsonrpc.py
@@ -41,7 +41,7 @@
             lines = self._lines.feed(data)
         except LineTooLong:
             log("client", "a line is too long; the connection is closed")
-            self.abort()
+            self.close()
             return
         for line in lines:
             if line:
--- a/slipbay/front/server.py
+++ b/slipbay/front/server.py
@@ -33,6 +33,11 @@
     def listening(self) -> bool:
         return bool(self._listeners)
 
+    @property
+    def ports(self) -> list[int]:
+        """Those that are listened on, in the order of their start."""
+        return [listener.sockets[0].getsockname()[1] for listener in self._listeners]
+
     def leave(self) -> None:
         """Take no connections any more, and let go of those that are done."""
         self.leaving = True
@@ -61,7 +66,7 @@
         """Idle connections go, and where slow readers hold too much memory, those that hold most of it."""
         now = self.now()
         for connection in list(self.connections):
-            if not connection.busy and now - connection.touched > IDLE_US:
+            if not connection.busy and now - connection.touched > connection.idle_us:
                 connection.close() if not connection.unsent else connection.abort()
         self.bound_unsent()
         self._timers.after(SWEEP_US, self._sweep)
@@ -79,6 +84,8 @@
 class ClientConnection(Stream):
     """A client's connection; fronts add their wire to it."""
 
+    idle_us = IDLE_US
+
     def __init__(self, server: Server) -> None:
         self.server = server
         self.touched = server.now()
--- a/slipbay/stream.py
+++ b/slipbay/stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -26,7 +27,6 @@
     transport: asyncio.Transport | None = None
     sock: socket.socket | None = None  # of a connection that we dialled
     lost = False
-    unsent_at_loss = 0  # bytes that the system had not taken when the connection ended
     congested = False  # more bytes wait to be written than the transport likes
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -42,7 +42,6 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         if not self.lost:
-            self.unsent_at_loss = self.unsent
             self.lost = True
             self.ended()
 
@@ -119,9 +118,10 @@
 
     def _writable(self) -> None:
         self._stop_waiting()
-        if self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        error = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
             self._sock.close()
-            self._failed(True)
+            self._failed(error == errno.ECONNREFUSED)  # only this proves that no process listens
         else:
             self._dialer.hand_over(self._stream, self._sock)
 
--- /dev/null
+++ b/slipbay/wire/mysql.py
@@ -0,0 +1,438 @@
+"""The MySQL client/server protocol, both sides of it: packets, handshake, authentication, results.
+
+Both legs of the router use the same capabilities, ``CAPABILITIES``, whatever a peer could do beyond them, so
+that the packets of an engine's answer can be passed on to a client as they are.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from struct import Struct
+from struct import error as StructError
+
+# Capability flags
+LONG_PASSWORD, CONNECT_WITH_DB, PROTOCOL_41, SSL = 1 << 0, 1 << 3, 1 << 9, 1 << 11
+TRANSACTIONS, SECURE_CONNECTION = 1 << 13, 1 << 15
+PLUGIN_AUTH, CONNECT_ATTRS, PLUGIN_AUTH_LENENC = 1 << 19, 1 << 20, 1 << 21
+CAPABILITIES = (LONG_PASSWORD | CONNECT_WITH_DB | PROTOCOL_41 | TRANSACTIONS | SECURE_CONNECTION
+                | PLUGIN_AUTH | CONNECT_ATTRS | PLUGIN_AUTH_LENENC)
+NEEDED = PROTOCOL_41 | SECURE_CONNECTION
+
+# Commands
+COM_QUIT, COM_INIT_DB, COM_QUERY, COM_PING, COM_CHANGE_USER = 0x01, 0x02, 0x03, 0x0E, 0x11
+COM_STMT_PREPARE, COM_STMT_EXECUTE, COM_STMT_SEND_LONG_DATA = 0x16, 0x17, 0x18
+COM_STMT_CLOSE, COM_STMT_RESET, COM_STMT_FETCH, COM_RESET_CONNECTION = 0x19, 0x1A, 0x1C, 0x1F
+
+# Errors of the server, and their SQLSTATEs
+ER_CON_COUNT, ER_HANDSHAKE, ER_ACCESS_DENIED, ER_UNKNOWN_COM, ER_BAD_DB = 1040, 1043, 1045, 1047, 1049
+ER_SERVER_SHUTDOWN, ER_NO_SUCH_THREAD, ER_UNKNOWN_CHARSET, ER_PACKET_TOO_LARGE = 1053, 1094, 1115, 1153
+ER_TOO_MANY_USER_CONNECTIONS, ER_WRONG_ARGUMENTS, ER_USER_LIMIT, ER_NOT_SUPPORTED = 1203, 1210, 1226, 1235
+ER_UNKNOWN_STMT, ER_QUERY_INTERRUPTED, ER_MAX_PREPARED, ER_MALFORMED_PACKET = 1243, 1317, 1461, 1835
+ER_QUERY_TIMEOUT, ER_SECURE_TRANSPORT = 3024, 3159
+# Errors of ours, outside of the numbers that servers use
+ER_FAILED, ER_REFUSED = 9500, 9503
+SQLSTATES = {
+    ER_CON_COUNT: "08004", ER_HANDSHAKE: "08S01", ER_ACCESS_DENIED: "28000", ER_UNKNOWN_COM: "08S01",
+    ER_BAD_DB: "42000", ER_SERVER_SHUTDOWN: "08S01", ER_UNKNOWN_CHARSET: "42000",
+    ER_PACKET_TOO_LARGE: "08S01", ER_TOO_MANY_USER_CONNECTIONS: "42000", ER_USER_LIMIT: "42000",
+    ER_NOT_SUPPORTED: "42000", ER_QUERY_INTERRUPTED: "70100", ER_MAX_PREPARED: "42000",
+    ER_FAILED: "58000", ER_REFUSED: "53000",
+}
+
+NATIVE, CACHING_SHA2 = "mysql_native_password", "caching_sha2_password"
+UTF8MB4 = 45  # utf8mb4_general_ci; every server since 5.5 knows it
+STATUS_AUTOCOMMIT = 2
+MOST_IN_PACKET = 0xFFFFFF
+OK, EOF, ERR, LOCAL_INFILE, MORE_DATA, AUTH_SWITCH = 0x00, 0xFE, 0xFF, 0xFB, 0x01, 0xFE
+FAST_AUTH_OK, FULL_AUTH = 0x03, 0x04
+
+_U16, _U32 = Struct("<H"), Struct("<I")
+_RESPONSE_HEAD = Struct("<IIB23x")  # capabilities, longest packet, character set
+_EXECUTE_HEAD = Struct("<IBI")  # statement, cursor type, iterations
+_PREPARED = Struct("<BIHHxH")  # status, statement, columns, parameters, warnings
+
+
+class MalformedPacket(Exception):
+    """What came is not what the protocol allows."""
+
+
+class PacketTooLarge(Exception):
+    """A payload is longer than the limit; where the next packet begins is not followed."""
+
+
+class Packets:
+    """Takes bytes in any chunking and gives payloads with the sequence number of their last packet."""
+
+    def __init__(self, most_bytes: int) -> None:
+        self.most_bytes = most_bytes
+        self._data = bytearray()
+        self._payload = bytearray()  # of a payload in several packets, those so far
+
+    def feed(self, data: bytes) -> Iterator[tuple[int, bytes]]:
+        """Whole payloads in order. What is left unread of this iterator comes with the next call."""
+        self._data += data
+        return self._whole()
+
+    def _whole(self) -> Iterator[tuple[int, bytes]]:
+        while len(self._data) >= 4:
+            size, sequence = int.from_bytes(self._data[:3], "little"), self._data[3]
+            if len(self._payload) + size > self.most_bytes:
+                raise PacketTooLarge
+            if len(self._data) < 4 + size:
+                return
+            self._payload += self._data[4:4 + size]
+            del self._data[:4 + size]
+            if size < MOST_IN_PACKET:
+                payload = bytes(self._payload)
+                self._payload.clear()
+                yield sequence, payload
+
+    def rest(self) -> bytes:
+        """What has come and is no packet yet; after it the connection speaks something else."""
+        rest = bytes(self._data)
+        self._data.clear()
+        return rest
+
+
+def packets(payloads: Iterable[bytes], sequence: int) -> tuple[bytes, int]:
+    """Payloads as packets from a sequence number on; and the number after the last."""
+    parts: list[bytes] = []
+    for payload in payloads:
+        start = 0
+        while True:
+            piece = payload[start:start + MOST_IN_PACKET]
+            parts += [len(piece).to_bytes(3, "little"), bytes([sequence % 256]), piece]
+            sequence += 1
+            start += MOST_IN_PACKET
+            if len(piece) < MOST_IN_PACKET:
+                break
+    return b"".join(parts), sequence % 256
+
+
+class Reader:
+    """Reads fields of a payload one after the other."""
+
+    def __init__(self, payload: bytes, at: int = 0) -> None:
+        self.payload, self.at = payload, at
+
+    def take(self, size: int) -> bytes:
+        if size < 0 or self.at + size > len(self.payload):
+            raise MalformedPacket("a packet ends inside a field")
+        self.at += size
+        return self.payload[self.at - size:self.at]
+
+    def number(self, size: int) -> int:
+        return int.from_bytes(self.take(size), "little")
+
+    def lenenc(self) -> int:
+        first = self.number(1)
+        if first < 0xFB:
+            return first
+        if first in (0xFB, 0xFF):
+            raise MalformedPacket("no length stands where one is wanted")
+        return self.number({0xFC: 2, 0xFD: 3, 0xFE: 8}[first])
+
+    def null_ended(self) -> bytes:
+        end = self.payload.find(b"\0", self.at)
+        if end < 0:
+            raise MalformedPacket("a string does not end")
+        text = self.payload[self.at:end]
+        self.at = end + 1
+        return text
+
+    def lenenc_bytes(self) -> bytes:
+        return self.take(self.lenenc())
+
+    def rest(self) -> bytes:
+        return self.take(len(self.payload) - self.at)
+
+    @property
+    def left(self) -> int:
+        return len(self.payload) - self.at
+
+
+def lenenc(value: int) -> bytes:
+    if value < 0xFB:
+        return bytes([value])
+    for mark, size in ((0xFC, 2), (0xFD, 3)):
+        if value < 1 << (8 * size):
+            return bytes([mark]) + value.to_bytes(size, "little")
+    return b"\xfe" + value.to_bytes(8, "little")
+
+
+def lenenc_bytes(value: bytes) -> bytes:
+    return lenenc(len(value)) + value
+
+
+# Answers of a server
+
+
+def ok(affected: int = 0, status: int = STATUS_AUTOCOMMIT) -> bytes:
+    return b"\0" + lenenc(affected) + b"\0" + _U16.pack(status) + b"\0\0"
+
+
+def eof(status: int = STATUS_AUTOCOMMIT) -> bytes:
+    return bytes([EOF]) + b"\0\0" + _U16.pack(status)
+
+
+@dataclass(slots=True, frozen=True)
+class Error:
+    code: int
+    sqlstate: str
+    message: str
+
+
+def err(code: int, message: str) -> bytes:
+    return (bytes([ERR]) + _U16.pack(code) + b"#" + SQLSTATES.get(code, "HY000").encode()
+            + message.encode()[:512])
+
+
+def read_err(payload: bytes) -> Error:
+    reader = Reader(payload, 1)
+    code, rest = reader.number(2), reader.rest()
+    state, message = (rest[1:6], rest[6:]) if rest[:1] == b"#" else (b"HY000", rest)
+    return Error(code, state.decode("ascii", "replace"), message.decode("utf-8", "replace"))
+
+
+def is_eof(payload: bytes) -> bool:
+    return payload[:1] == b"\xfe" and len(payload) < 9
+
+
+# Handshake
+
+
+@dataclass(slots=True, frozen=True)
+class Greeting:
+    connection: int
+    challenge: bytes  # 20 bytes
+    plugin: str
+    capabilities: int = CAPABILITIES
+    version: str = "8.0.36-slipbay"
+
+
+def greeting(told: Greeting) -> bytes:
+    return b"".join((
+        b"\x0a", told.version.encode(), b"\0", _U32.pack(told.connection), told.challenge[:8], b"\0",
+        _U16.pack(told.capabilities & 0xFFFF), bytes([UTF8MB4]), _U16.pack(STATUS_AUTOCOMMIT),
+        _U16.pack(told.capabilities >> 16), bytes([len(told.challenge) + 1]), bytes(10),
+        told.challenge[8:], b"\0", told.plugin.encode(), b"\0"))
+
+
+def read_greeting(payload: bytes) -> Greeting:
+    reader = Reader(payload)
+    if reader.number(1) != 10:
+        raise MalformedPacket("the server speaks no version 10 of the handshake")
+    version, connection = reader.null_ended(), reader.number(4)
+    challenge = reader.take(8)
+    reader.take(1)
+    capabilities = reader.number(2)
+    reader.take(3)
+    capabilities |= reader.number(2) << 16
+    size = reader.number(1)
+    reader.take(10)
+    if capabilities & NEEDED != NEEDED:
+        raise MalformedPacket("the server is too old")
+    challenge += reader.take(max(13, size - 8))[:12]
+    plugin = reader.null_ended().decode("ascii", "replace") if capabilities & PLUGIN_AUTH else NATIVE
+    return Greeting(connection, challenge, plugin, capabilities, version.decode("latin-1"))
+
+
+@dataclass(slots=True, frozen=True)
+class Login:
+    """A client's answer to the greeting. ``user`` is None in a request for TLS, which comes before it."""
+
+    capabilities: int
+    charset: int
+    user: str | None = None
+    proof: bytes = b""
+    database: str = ""
+    plugin: str = NATIVE
+
+
+def login(told: Login) -> bytes:
+    assert told.user is not None
+    return b"".join((
+        _RESPONSE_HEAD.pack(told.capabilities, MOST_IN_PACKET, told.charset), told.user.encode(), b"\0",
+        lenenc_bytes(told.proof),
+        told.database.encode() + b"\0" if told.capabilities & CONNECT_WITH_DB else b"",
+        told.plugin.encode(), b"\0"))
+
+
+def read_login(payload: bytes) -> Login:
+    if len(payload) < _RESPONSE_HEAD.size:
+        raise MalformedPacket("the client's answer is too short")
+    capabilities, _, charset = _RESPONSE_HEAD.unpack_from(payload)
+    if capabilities & NEEDED != NEEDED:
+        raise MalformedPacket("the client is too old")
+    if len(payload) == _RESPONSE_HEAD.size and capabilities & SSL:
+        return Login(capabilities, charset)
+    reader = Reader(payload, _RESPONSE_HEAD.size)
+    user = reader.null_ended()
+    proof = reader.lenenc_bytes() if capabilities & PLUGIN_AUTH_LENENC else reader.take(reader.number(1))
+    database = reader.null_ended() if capabilities & CONNECT_WITH_DB and reader.left else b""
+    plugin = NATIVE
+    if capabilities & PLUGIN_AUTH and reader.left:
+        plugin = reader.null_ended().decode("ascii", "replace")
+    return Login(capabilities, charset, user.decode("utf-8", "replace"), proof,
+                 database.decode("utf-8", "replace"), plugin)
+
+
+def tls_request(capabilities: int, charset: int) -> bytes:
+    return _RESPONSE_HEAD.pack(capabilities | SSL, MOST_IN_PACKET, charset)
+
+
+def prove(plugin: str, password: bytes, challenge: bytes) -> bytes | None:
+    """What a client that knows the password answers to a challenge; None where the plugin is not known."""
+    if plugin not in (NATIVE, CACHING_SHA2):
+        return None
+    if not password:
+        return b""
+    digest = hashlib.sha1 if plugin == NATIVE else hashlib.sha256
+    once = digest(password).digest()
+    twice = digest(once).digest()
+    mask = digest(challenge + twice if plugin == NATIVE else twice + challenge).digest()
+    return bytes(a ^ b for a, b in zip(once, mask, strict=True))
+
+
+def auth_switch(plugin: str, challenge: bytes) -> bytes:
+    return bytes([AUTH_SWITCH]) + plugin.encode() + b"\0" + challenge + b"\0"
+
+
+def read_auth_switch(payload: bytes) -> tuple[str, bytes]:
+    reader = Reader(payload, 1)
+    return reader.null_ended().decode("ascii", "replace"), reader.rest()[:20]
+
+
+# Prepared statements
+
+
+@dataclass(slots=True, frozen=True)
+class Prepared:
+    """What an engine tells of a statement; the definitions go to the client as they came."""
+
+    columns: int
+    parameters: int
+    definitions: tuple[bytes, ...]  # of parameters, then of columns, each run with its EOF
+    warnings: int = 0
+
+
+def prepared(statement: int, told: Prepared) -> list[bytes]:
+    head = _PREPARED.pack(0, statement, told.columns, told.parameters, told.warnings)
+    return [head, *told.definitions]
+
+
+def statement_of(payload: bytes) -> int:
+    """The statement that a command names, behind the command's byte."""
+    return Reader(payload, 1).number(4)
+
+
+@dataclass(slots=True)
+class Execution:
+    """An execution with all that it needs on any engine: types always go with it."""
+
+    nulls: bytes
+    types: bytes
+    values: bytes
+    long_data: dict[int, bytes] = field(default_factory=dict)
+
+
+def read_execute(payload: bytes, parameters: int, types: bytes, long_data: dict[int, bytes]) -> Execution:
+    """``types`` are those bound by an earlier execution, used where this one brings none."""
+    try:
+        _, cursor, _ = _EXECUTE_HEAD.unpack_from(payload, 1)
+    except StructError:
+        raise MalformedPacket("an execution is too short") from None
+    if cursor:
+        raise NotImplementedError("cursors")
+    if not parameters:
+        return Execution(b"", b"", b"")
+    reader = Reader(payload, 1 + _EXECUTE_HEAD.size)
+    nulls = reader.take((parameters + 7) // 8)
+    if reader.number(1):
+        types = reader.take(2 * parameters)
+    if len(types) != 2 * parameters:
+        raise MalformedPacket("an execution tells no types for its parameters")
+    return Execution(nulls, types, reader.rest(), long_data)
+
+
+def execute(statement: int, run: Execution) -> bytes:
+    head = bytes([COM_STMT_EXECUTE]) + _EXECUTE_HEAD.pack(statement, 0, 1)
+    return head + (run.nulls + b"\x01" + run.types + run.values if run.types else b"")
+
+
+def long_data(statement: int, parameter: int, data: bytes) -> bytes:
+    return bytes([COM_STMT_SEND_LONG_DATA]) + _U32.pack(statement) + _U16.pack(parameter) + data
+
+
+def read_long_data(payload: bytes) -> tuple[int, int, bytes]:
+    reader = Reader(payload, 1)
+    return reader.number(4), reader.number(2), reader.rest()
+
+
+def close_statement(statement: int) -> bytes:
+    return bytes([COM_STMT_CLOSE]) + _U32.pack(statement)
+
+
+@dataclass(slots=True, frozen=True)
+class Work:
+    """What a client wants of an engine: a statement run as text, prepared, or prepared and run."""
+
+    sql: bytes
+    run: Execution | None = None
+    prepare: bool = False
+
+
+class ResultReader:
+    """Follows the packets of one answer up to its end, be it OK, an error or rows."""
+
+    def __init__(self) -> None:
+        self.payloads: list[bytes] = []
+        self._eofs = -1  # ends of runs still to come; -1 before the first packet
+
+    def feed(self, payload: bytes) -> bool:
+        """Take a payload in; true if the answer is whole."""
+        self.payloads.append(payload)
+        first = payload[:1]
+        if not payload or first == b"\xfb" and self._eofs < 0:
+            raise MalformedPacket("an answer that can't be passed on")
+        if first == b"\xff":
+            return True
+        if self._eofs < 0:
+            self._eofs = 2
+            return first == b"\0"
+        self._eofs -= is_eof(payload)
+        return not self._eofs
+
+
+class PrepareReader:
+    """Follows the packets of the answer to a prepare."""
+
+    def __init__(self) -> None:
+        self.error: bytes | None = None
+        self.statement = 0
+        self._head: tuple[int, int, int] | None = None
+        self._definitions: list[bytes] = []
+        self._eofs = 0
+
+    def feed(self, payload: bytes) -> bool:
+        if self._head is None:
+            if payload[:1] == b"\xff":
+                self.error = payload
+                return True
+            if len(payload) < _PREPARED.size or payload[0]:
+                raise MalformedPacket("no answer to a prepare")
+            _, self.statement, columns, parameters, warnings = _PREPARED.unpack_from(payload)
+            self._head = columns, parameters, warnings
+            self._eofs = bool(columns) + bool(parameters)
+            return not self._eofs
+        self._definitions.append(payload)
+        self._eofs -= is_eof(payload)
+        return not self._eofs
+
+    @property
+    def told(self) -> Prepared:
+        assert self._head is not None
+        columns, parameters, warnings = self._head
+        return Prepared(columns, parameters, tuple(self._definitions), warnings)
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,210 @@
+"""A router in this process, and stand-ins for all that it talks to, on free loopback ports.
+
+Everything runs in one event loop, and tests wait for what happens, never for time to pass.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from collections.abc import Awaitable, Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+from slipbay.__main__ import Router
+from slipbay.config import Config, from_json, load_mysql
+
+HOST = "127.0.0.1"
+TXN = "9b1f03aa5c7e2d41"
+SETTINGS: dict[str, Any] = {
+    "balancers": 1, "me": 0, "zone": 0, "dcs": ["room-a"], "kinds": ["std-8"], "tickUs": 5000,
+    "familyInfo": {"threadsByClass": [1, 2, 2], "isLoad": [False, False, True], "cpuOfKind": [8],
+                   "progressUs": 1_000_000, "lanesCount": True, "blockedByLoads": [False, False, False]},
+    "policyLimits": {"attemptsCap": 4, "connIdleUs": 30_000_000, "connectTimeoutUs": 250_000,
+                     "maxRetryAfterUs": 500_000, "mayCancel": True, "retryAfter": True},
+    "profiles": [
+        {"name": "lookup", "effect": "retryable", "promiseUs": 500_000, "giveUpUs": 2_500_000, "gain": 1.0},
+        {"name": "report", "effect": "retryable", "promiseUs": 2_000_000, "giveUpUs": 20_000_000,
+         "gain": 15.0},
+        {"name": "ticket-load", "effect": "fragile", "promiseUs": 4_000_000, "giveUpUs": 25_000_000,
+         "gain": 15.0}],
+    "realms": [{"name": "ishikari-fuel"}, {"name": "tokachi-oil"}],
+    "rules": {"answerSlackUs": 20_000, "coldShare": 0.31, "fallMultiple": 3.0, "fallUs": 3_000_000,
+              "rampTimeUs": 13_000_000, "extraFree": 50.0, "repeatRatio": 0.2, "countedOverUs": 10_000_000},
+}
+
+
+def run(test: Callable[[], Coroutine[Any, Any, None]], seconds: float = 20.0) -> None:
+    """Run a test to its end; one that hangs fails."""
+    async def limited() -> None:
+        await asyncio.wait_for(test(), seconds)
+
+    asyncio.run(limited())
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait for something to become true; the limit on the whole test ends a wait in vain."""
+    while not condition():
+        await asyncio.sleep(0.001)
+
+
+async def serve(handler: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]],
+                port: int = 0) -> tuple[asyncio.Server, int]:
+    server = await asyncio.start_server(handler, HOST, port)
+    return server, server.sockets[0].getsockname()[1]
+
+
+async def quietly(work: Awaitable[None]) -> None:
+    """Stand-ins end with their connections, however those end."""
+    try:
+        await work
+    except (OSError, EOFError, asyncio.CancelledError):
+        pass
+
+
+def host(name: str, port: int, state: str = "SERVING", born_ms: int = 0) -> dict[str, Any]:
+    return {"host": name, "dial": f"{HOST}:{port}", "site": "room-a", "class": "std-8", "block": 0,
+            "health": state, "share": 1, "born_ms": born_ms}
+
+
+def event(pos: int, *hosts: dict[str, Any], whole: bool = False) -> dict[str, Any]:
+    return {"pos": pos, "hosts": {"seq": pos, "whole": whole, "hosts": list(hosts)}}
+
+
+class StandInJournal:
+    """Tells queued lines to whoever tails it, and keeps what it was asked."""
+
+    def __init__(self) -> None:
+        self.asked: list[bytes] = []
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def start(self) -> None:
+        self.server, self.port = await serve(self._serve)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.asked.append(await reader.readline())
+        self.writers.append(writer)
+
+    def tell(self, line: dict[str, Any]) -> None:
+        self.writers[-1].write(json.dumps(line).encode() + b"\n")
+
+    def cut(self) -> None:
+        self.writers.pop().transport.abort()
+
+
+class HttpCall:
+    def __init__(self, method: str, path: str, headers: dict[str, str], body: bytes) -> None:
+        self.method, self.path, self.headers, self.body = method, path, headers, body
+
+
+def http_answer(status: int, body: bytes = b"", **headers: str) -> bytes:
+    lines = [f"HTTP/1.1 {status} x", f"Content-Length: {len(body)}",
+             *(f"{name.replace('_', '-')}: {value}" for name, value in headers.items())]
+    return "\r\n".join((*lines, "", "")).encode() + body
+
+
+Script = Callable[[HttpCall, asyncio.StreamWriter], Awaitable[bytes | None]]
+
+
+async def one_page(call: HttpCall, writer: asyncio.StreamWriter) -> bytes | None:
+    if call.method in ("DELETE", "PUT"):
+        return http_answer(204)
+    return http_answer(200, b"a\tb\tc\n", X_Sheets="1")
+
+
+class StandInEngine:
+    """Speaks HTTP as its script says: an answer, or None to break the connection off."""
+
+    def __init__(self, script: Script = one_page) -> None:
+        self.script = script
+        self.calls: list[HttpCall] = []
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def start(self) -> None:
+        self.server, self.port = await serve(lambda r, w: quietly(self._serve(r, w)))
+
+    def named(self, method: str) -> list[HttpCall]:
+        return [call for call in self.calls if call.method == method]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        while head := await reader.readuntil(b"\r\n\r\n"):
+            first, *lines = head.decode().rstrip().split("\r\n")
+            headers = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines)}
+            method, path, _ = first.split(" ")
+            call = HttpCall(method, path, headers,
+                            await reader.readexactly(int(headers.get("content-length", 0))))
+            self.calls.append(call)
+            answer = await self.script(call, writer)
+            if answer is None:
+                writer.transport.abort()
+                return
+            writer.write(answer)
+
+
+class JsonClient:
+    """A client of the platform."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer, self.id = reader, writer, 0
+
+    def send(self, method: str, id: int | None = None, **params: Any) -> int:
+        self.id = id if id is not None else self.id + 1
+        self.raw(json.dumps({"jsonrpc": "2.0", "id": self.id, "method": method, "params": params}).encode())
+        return self.id
+
+    def raw(self, line: bytes) -> None:
+        self.writer.write(line + b"\n")
+
+    def query(self, method: str = "lookup", sql: str = "SELECT 1", limit: int = 2000, **params: Any) -> int:
+        return self.send(method, **{"txn": TXN, "limit": limit, "cpu": 80.0,
+                                    "data": base64.b64encode(sql.encode()).decode(), **params})
+
+    async def answer(self) -> dict[str, Any]:
+        line = await self.reader.readline()
+        assert line, "the connection ended"
+        found: dict[str, Any] = json.loads(line)
+        return found
+
+    def cancel(self, id: int) -> None:
+        self.raw(json.dumps({"jsonrpc": "2.0", "method": "cancelRequest", "params": {"id": id}}).encode())
+
+
+class Loopback:
+    """A router with its engines."""
+
+    def __init__(self, *engines: StandInEngine, mysql_file: Path | None = None) -> None:
+        self.engines, self.journal, self._mysql_file = engines, StandInJournal(), mysql_file
+        self.settings = SETTINGS
+
+    def config(self, hosts: list[dict[str, Any]]) -> Config:
+        config = from_json(json.dumps({
+            "name": "n0", "listen": f"{HOST}:0", "seed": "1", "journal": f"{HOST}:{self.journal.port}",
+            "limits": {"cores": 1, "memory_mb": 192, "sockets": 1024},
+            "known": {"pos": 1, "entries": [event(1, *hosts, whole=True)]}, "settings": self.settings}), {})
+        if self._mysql_file is None:
+            return config
+        from dataclasses import replace
+        return replace(config, mysql=load_mysql(config, self._mysql_file))
+
+    async def __aenter__(self) -> Loopback:
+        await self.journal.start()
+        for engine in self.engines:
+            await engine.start()
+        hosts = [host(f"s-{number}", engine.port) for number, engine in enumerate(self.engines)]
+        self.router = Router(self.config(hosts), asyncio.get_running_loop())
+        await self.router.start()
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        for server in [self.journal.server, *(engine.server for engine in self.engines)]:
+            server.close()
+        self.router.server.leave()
+
+    def port(self, number: int = 0) -> int:
+        """Where the router listens: JSON-RPC first, then MySQL."""
+        return self.router.server.ports[number]
+
+    async def client(self) -> JsonClient:
+        return JsonClient(*await asyncio.open_connection(HOST, self.port()))
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,214 @@
+"""The router from its sockets: one process, stand-in engines, clients of the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+
+import pytest
+from loopback import TXN, HttpCall, Loopback, StandInEngine, event, host, http_answer, one_page, run, until
+
+SQL = "SELECT * FROM sales_17.orders"
+
+
+def test_a_query_is_passed_on_unchanged_and_its_pages_come_back_whole() -> None:
+    pages = [b"1\t2\t3\n" * 800, b"4\t5\t6\n" * 800, b"7\t8\t9\n"]
+
+    async def script(call: HttpCall, writer: asyncio.StreamWriter) -> bytes:
+        number = int(call.path.rpartition("/")[2]) if call.method == "GET" else 0
+        return http_answer(200, pages[number], **({"X_Sheet": str(number)} if number else {"X_Sheets": "3"}))
+
+    async def test() -> None:
+        engine = StandInEngine(script)
+        async with Loopback(engine) as net:
+            client = await net.client()
+            id = client.query("report", SQL, ram=96)
+            answer = await client.answer()
+            assert answer["id"] == id and base64.b64decode(answer["result"]["data"]) == b"".join(pages)
+            post, *rest = engine.calls
+            assert (post.headers["x-hop-id"], post.headers["x-sort"]) == (TXN, "report")
+            assert post.body == SQL.encode()
+            assert 1900 <= int(post.headers["x-budget"]) <= 2000 and post.headers["x-urgency"] in "0123"
+            assert [call.path for call in rest] == [f"/obj/{TXN}/1", f"/obj/{TXN}/2"]
+
+    run(test)
+
+
+def test_a_cut_connection_does_not_end_a_query() -> None:
+    """Guards against taking a reset for the end: the query runs on, and is asked for on a new connection."""
+    async def script(call: HttpCall, writer: asyncio.StreamWriter) -> bytes | None:
+        return None if call.method == "POST" else await one_page(call, writer)
+
+    async def test() -> None:
+        engine = StandInEngine(script)
+        async with Loopback(engine) as net:
+            client = await net.client()
+            client.query("ticket-load", "INSERT INTO sales_1.tickets VALUES (1)")
+            assert "result" in await client.answer()
+            assert [call.method for call in engine.calls] == ["POST", "GET"]
+
+    run(test)
+
+
+@pytest.mark.parametrize("service_class, posts", [("lookup", 4), ("ticket-load", 1)])
+def test_only_what_may_run_twice_is_sent_again_after_an_error(service_class: str, posts: int) -> None:
+    async def script(call: HttpCall, writer: asyncio.StreamWriter) -> bytes | None:
+        return http_answer(500)
+
+    async def test() -> None:
+        engines = [StandInEngine(script) for _ in range(3)]
+        async with Loopback(*engines) as net:
+            client = await net.client()
+            client.query(service_class)
+            code = (await client.answer())["error"]["code"]
+            assert sum(len(engine.named("POST")) for engine in engines) == posts
+            assert code == (-32002 if service_class == "lookup" else -32000)
+
+    run(test)
+
+
+def test_a_cancelled_request_is_deleted_and_gets_no_answer() -> None:
+    posted = asyncio.Event()
+
+    async def script(call: HttpCall, writer: asyncio.StreamWriter) -> bytes | None:
+        if call.method == "GET":
+            posted.set()
+        return http_answer(204) if call.method == "DELETE" else http_answer(202)
+
+    async def test() -> None:
+        engine = StandInEngine(script)
+        async with Loopback(engine) as net:
+            client = await net.client()
+            client.cancel(client.query())  # at once: it may not have been sent yet
+            id = client.query()
+            await posted.wait()
+            client.cancel(id)
+            await until(lambda: bool(engine.named("DELETE")))
+            await until(lambda: not net.router.core.requests)
+            last = client.send("alive")
+            assert (await client.answer()) == {"jsonrpc": "2.0", "id": last, "result": {"well": True}}
+
+    run(test)
+
+
+def test_a_refusal_says_when_to_return_and_comes_at_once() -> None:
+    async def test() -> None:
+        async with Loopback() as net:  # no engines at all
+            client = await net.client()
+            client.query(limit=120)
+            error = (await client.answer())["error"]
+            assert error["code"] == -32002 and error["data"]["later"] == 250
+
+    run(test)
+
+
+@pytest.mark.parametrize("line, code, id", [
+    (b"{", -32700, None), (b"[1]", -32600, None), (b"7", -32600, None), (b'{"id":0}', -32600, None),
+    (b'{"id":true,"jsonrpc":"2.0","method":"alive"}', -32600, None),
+    (b'{"id":7}', -32600, 7), (b'{"jsonrpc":"2.0","id":7,"method":"dance"}', -32601, 7),
+    (b'{"jsonrpc":"2.0","id":7,"method":"lookup","params":[]}', -32602, 7),
+    (b'{"jsonrpc":"2.0","id":7,"method":"lookup","params":{"txn":"x","limit":9,"data":""}}', -32602, 7),
+    (b'{"jsonrpc":"2.0","id":7,"method":"lookup","params":{"txn":"9b1f03aa5c7e2d41","data":"QQ=="}}',
+     -32602, 7),
+    (b'{"jsonrpc":"2.0","id":7,"method":"lookup","params":{"txn":"9b1f03aa5c7e2d41","limit":9,"data":"?"}}',
+     -32602, 7),
+    (b'{"jsonrpc":"2.0","id":7,"method":"lookup","params":{"txn":"9b1f03aa5c7e2d41","limit":NaN,"data":"QQ=="}}',
+     -32602, 7),
+    (b'{"jsonrpc":"2.0","id":7,"method":"lookup","params":{"txn":"9b1f03aa5c7e2d41","limit":9,"team":"no",'
+     b'"data":"QQ=="}}', -32602, 7),
+    (b"[" * 100_000, -32700, None), (b"\xff\xfe", -32700, None),
+])
+def test_bad_input_gets_an_error_and_the_connection_goes_on(line: bytes, code: int, id: int | None) -> None:
+    async def test() -> None:
+        async with Loopback() as net:
+            client = await net.client()
+            client.raw(line)
+            answer = await client.answer()
+            assert (answer["error"]["code"], answer["id"]) == (code, id)
+            client.send("alive", id=9)
+            assert (await client.answer())["id"] == 9
+
+    run(test)
+
+
+def test_a_reused_id_is_an_error_and_an_overlong_line_ends_the_connection() -> None:
+    async def test() -> None:
+        async with Loopback(StandInEngine()) as net:
+            client = await net.client()
+            client.query()
+            assert "result" in await client.answer()
+            client.send("alive", id=1)
+            assert (await client.answer())["error"]["code"] == -32600
+            client.raw(b"x" * 400_000)
+            with contextlib.suppress(ConnectionResetError):  # it has not read all that we sent
+                assert await client.reader.read() == b""
+
+    run(test)
+
+
+def test_the_list_is_followed_across_a_cut_of_the_journal() -> None:
+    async def test() -> None:
+        old, new = StandInEngine(), StandInEngine()
+        await new.start()
+        async with Loopback(old) as net:
+            await until(lambda: bool(net.journal.writers))
+            net.journal.tell(event(2, host("s-1", new.port)))
+            net.journal.tell({"pos": 2})
+            await until(lambda: net.router.journal.pos == 2)
+            net.journal.cut()
+            await until(lambda: len(net.journal.asked) == 2)
+            assert net.journal.asked == [b"tail 1\n", b"tail 2\n"]
+            net.journal.tell(event(2, host("s-1", new.port)))  # told again: it changes nothing
+            net.journal.tell(event(3, host("s-0", old.port, "DELETED")))
+            await until(lambda: net.router.journal.pos == 3)
+            client = await net.client()
+            for _ in range(4):
+                client.query()
+                assert "result" in await client.answer()
+            assert not old.calls and len(new.named("POST")) == 4
+        new.server.close()
+
+    run(test)
+
+
+def test_an_address_that_passes_to_a_new_engine_serves_it() -> None:
+    async def test() -> None:
+        engine = StandInEngine()
+        async with Loopback(engine) as net:
+            await until(lambda: bool(net.journal.writers))
+            client = await net.client()
+            client.query()
+            assert "result" in await client.answer()
+            net.journal.tell(event(2, host("s-0", engine.port, "DELETED"), host("s-9", engine.port)))
+            await until(lambda: net.router.journal.pos == 2)
+            client.query()
+            assert "result" in await client.answer()
+            assert len(engine.writers) == 2  # the old engine's connection was not used for the new one
+
+    run(test)
+
+
+def test_after_sigterm_requests_are_taken_for_a_while_and_all_are_answered() -> None:
+    go_on = asyncio.Event()
+
+    async def script(call: HttpCall, writer: asyncio.StreamWriter) -> bytes | None:
+        await go_on.wait()
+        return await one_page(call, writer)
+
+    async def test() -> None:
+        async with Loopback(StandInEngine(script)) as net:
+            client = await net.client()
+            client.query()
+            net.router.end()
+            late = await net.client()
+            late.send("alive")
+            assert (await late.answer())["result"] == {"well": False}
+            late.query()
+            await until(lambda: net.router.server.leaving)
+            assert not net.router.done.is_set()
+            go_on.set()
+            assert "result" in await client.answer() and "result" in await late.answer()
+            await net.router.done.wait()
+
+    run(test)
