--- a/slipbay/__main__.py
+++ b/slipbay/__main__.py
@@ -37,7 +37,7 @@
         self.timers = Timers(loop, self.clock)
         self.dialer = Dialer(loop, self.timers)
         self.core = Core(loop, self.clock, self.timers, Controller(config.settings, config.seed),
-                         config.settings, config.max_open)
+                         config.settings, config.max_open, config.limits.request_bytes)
         sockets = Sockets(config.limits.engine_sockets)
         self.back = HttpBack(config, self.timers, self.dialer, sockets, self.clock.now)
         self.core.backs.append(self.back)
@@ -46,7 +46,7 @@
             self.mysql_back = MysqlBack(
                 config, config.mysql, self.timers, self.dialer, sockets, self.clock.now)
             self.core.backs.append(self.mysql_back)
-        self.journal = Journal(config, self.clock, self.timers, self.dialer, self._listed)
+        self.journal = Journal(config, self.timers, self.dialer, self._listed)
         self.peers = Peers(config, lambda sender, body: self.core.tell(api.PeerMessage(sender, body)))
         self.core.tell_peers = self.peers.send
         self.server = Server(self.timers, config.limits, self.clock.now)
--- a/slipbay/back/http.py
+++ b/slipbay/back/http.py
@@ -10,7 +10,7 @@
 
 from martenkeel import interface as api
 from martenkeel.interface import EngineId, Outcome
-from slipbay.back.pool import Pool, PooledStream, Sockets, Trouble, Wait
+from slipbay.back.pool import ANSWER_US, Pool, PooledStream, Sockets, Trouble, Wait
 from slipbay.config import Config
 from slipbay.core.router import Attempt, Exchange, Host
 from slipbay.core.timers import Timer, Timers
@@ -35,24 +35,18 @@
         self._responses = http1.Responses()
         self._responded: Callable[[http1.Response], None] | None = None
         self._cut: Callable[[], None] | None = None
-        self.sent_at = 0
 
     def opened(self) -> None:
         self.usable()
 
-    def call(self, request: bytes, now: int, responded: Callable[[http1.Response], None],
-             cut: Callable[[], None]) -> None:
-        self.sent_at, self._responded, self._cut = now, responded, cut
+    def call(self, request: bytes, responded: Callable[[http1.Response], None], cut: Callable[[], None],
+             due: int = 0) -> None:
+        self._responded, self._cut, self.due = responded, cut, due
         self.write(request)
 
-    def abandon(self) -> None:
+    def abandon(self, due: int) -> None:
         """Its answer matters to nobody; with it the connection is free again."""
-        self.abandoned = True
-        self._responded, self._cut = lambda response: self._after(response), None
-
-    def _after(self, response: http1.Response) -> None:
-        self.abandoned = False
-        self.done_with(response)
+        self._responded, self._cut, self.due = self.done_with, None, due
 
     def done_with(self, response: http1.Response) -> None:
         if response.keep:
@@ -118,14 +112,14 @@
         """Ask for the news, or for the next page once the end is known."""
         self._wait = None
         if self._main is not None:  # it was silent, and this one has come up
-            self._main.abandon()
+            self._main.abandon(self._asked)
             self._main.abort()
         number = len(self._pages) if self._sheets else 0
         self._call(connection, http1.request("GET", f"{self._path}/{number}", self._pool_host()))
 
     def _call(self, connection: HttpConnection, request: bytes) -> None:
         self._main, self._asked = connection, self._back.now()
-        connection.call(request, self._asked, lambda response: self._responded(connection, response),
+        connection.call(request, lambda response: self._responded(connection, response),
                         self._cut)
         if self._check is None:
             self._check = self._back.timers.at(self._asked + OVERDUE_US, self._check_on)
@@ -243,7 +237,7 @@
             self._finish(outcome)  # nothing runs: it was not sent, or its end has been read
         elif not self._answered and self._main is not None:
             if self._main.unsent:
-                self._main.abandon()
+                self._main.abandon(self._asked)
                 self._main.abort()  # the POST has not left whole, and never will
                 self._main = None
                 self._finish(outcome)
@@ -267,8 +261,8 @@
             connection.done_with(response)
             self._finish(self._stopping or Outcome.CANCELLED)
 
-        connection.call(http1.request("DELETE", self._path, self._pool_host()), self._back.now(), responded,
-                        lambda: self._undeletable(Trouble.SILENT))
+        connection.call(http1.request("DELETE", self._path, self._pool_host()), responded,
+                        lambda: self._undeletable(Trouble.SILENT), self._back.now() + ANSWER_US)
 
     def _undeletable(self, trouble: Trouble) -> None:
         self._delete_wait = None
@@ -293,7 +287,7 @@
         if self._check is not None:
             self._check.cancel()
         if self._main is not None:
-            self._main.abandon()
+            self._main.abandon(self._back.now() + ANSWER_US)
             if self._back.now() - self._asked >= OVERDUE_US:
                 self._main.abort()  # whatever of it is still under way must not arrive later
         self._attempt.ended(outcome, b"".join(self._pages) if outcome is Outcome.OK else None)
@@ -354,15 +348,15 @@
                 connection.done_with(response)
                 end({200: Outcome.OK, 503: Outcome.FULL}.get(response.status, Outcome.ERROR))
 
-            connection.call(http1.request("GET", "/ping", pool.host), self.now(), responded,
-                            lambda: end(Outcome.RESET))
+            connection.call(http1.request("GET", "/ping", pool.host), responded,
+                            lambda: end(Outcome.RESET), self.now() + ANSWER_US)
 
         timer = self.timers.after(2 * self._config.connect_timeout_us, lambda: end(Outcome.TIMEOUT))
         pool.acquire(send, lambda trouble: end(Outcome.CONNECT_FAILED))
 
     def fire_and_forget(self, pool: Pool[HttpConnection], request: bytes) -> None:
         def send(connection: HttpConnection) -> None:
-            connection.call(request, self.now(), connection.done_with, lambda: None)
+            connection.call(request, connection.done_with, lambda: None, self.now() + ANSWER_US)
 
         pool.acquire(send, lambda trouble: None)
 
--- a/slipbay/back/mysql.py
+++ b/slipbay/back/mysql.py
@@ -12,7 +12,7 @@
 
 from martenkeel import interface as api
 from martenkeel.interface import EngineId, Outcome
-from slipbay.back.pool import Pool, PooledStream, Sockets, Trouble, Wait
+from slipbay.back.pool import ANSWER_US, Pool, PooledStream, Sockets, Trouble, Wait
 from slipbay.config import Config, MysqlConfig
 from slipbay.core.router import Attempt, Exchange, Host
 from slipbay.core.timers import Timers
@@ -110,9 +110,9 @@
     # Commands
 
     def call(self, payloads: list[bytes], reader: AnswerReader, done: Callable[[], None],
-             cut: Callable[[], None]) -> None:
+             cut: Callable[[], None], due: int = 0) -> None:
         """Send commands of which the last one is answered."""
-        self._reader, self._done, self._cut, self._taken = reader, done, cut, 0
+        self._reader, self._done, self._cut, self._taken, self.due = reader, done, cut, 0, due
         self.write(b"".join(mysql.packets([payload], 0)[0] for payload in payloads))
 
     def _answered(self, sequence: int, payload: bytes) -> None:
@@ -273,7 +273,7 @@
                 self._prove_later(RETRY_US)
 
         connection.call([bytes([mysql.COM_QUERY]) + b"KILL %d" % self._thread], reader, answered,
-                        lambda: self._prove_later(RETRY_US))
+                        lambda: self._prove_later(RETRY_US), self._back.now() + ANSWER_US)
 
     def _unkillable(self, trouble: Trouble) -> None:
         self._wait = None
@@ -346,14 +346,14 @@
         else:
             self._ping(pool, lambda: done(Outcome.OK), lambda: done(Outcome.CONNECT_FAILED))
 
-    @staticmethod
-    def _ping(pool: Pool[MysqlConnection], good: Callable[[], None], bad: Callable[[], None]) -> None:
+    def _ping(self, pool: Pool[MysqlConnection], good: Callable[[], None], bad: Callable[[], None]) -> None:
         def send(connection: MysqlConnection) -> None:
             def answered() -> None:
                 connection.release()
                 good()
 
-            connection.call([bytes([mysql.COM_PING])], mysql.ResultReader(), answered, bad)
+            connection.call([bytes([mysql.COM_PING])], mysql.ResultReader(), answered, bad,
+                            self.now() + ANSWER_US)
 
         pool.acquire(send, lambda trouble: bad())
 
--- a/slipbay/back/pool.py
+++ b/slipbay/back/pool.py
@@ -13,6 +13,7 @@
 from slipbay.stream import Address, Dial, Dialer, Stream
 
 SWEEP_US = 1_000_000
+ANSWER_US = 1_000_000  # for calls that engines answer at once
 KEEP_SHARE = 3  # an idle connection is closed after this part of the time after which engines close it
 
 
@@ -32,13 +33,14 @@
     def __init__(self, pool: Pool[PooledStream]) -> None:
         self.pool = pool
         self.idle_since = 0
-        self.abandoned = False  # its call's answer is awaited only to be thrown away
+        self.due = 0  # when a call that should be answered at once is given up; 0: no such call
         self.usable: Callable[[], None] = lambda: None
         self.broken: Callable[[], None] = lambda: None
         self.trouble = Trouble.BROKEN  # what it means if it ends before it can be used
 
     def release(self) -> None:
         """The call is over; the connection may serve the next one."""
+        self.due = 0
         self.pool.take_back(self)
 
     def ended(self) -> None:
@@ -184,14 +186,13 @@
         self.idle.clear()
 
     def sweep(self) -> None:
-        """Close what has been idle for long, before the engine does so in the middle of a call."""
+        """Close what has been idle for long, before the engine does so in the middle of a call, and give up
+        calls that a silent engine never answers: their connections would count for ever."""
+        for stream in [stream for stream in self._held if stream.due and self._now() > stream.due]:
+            stream.abort()
         while self.idle and self._now() - self.idle[0].idle_since > self._keep_us:
             self.idle.popleft().close()
 
     @property
     def host(self) -> str:
         return f"{self.address[0]}:{self.address[1]}"
-
-    @property
-    def empty(self) -> bool:
-        return not self._held
--- a/slipbay/clock.py
+++ b/slipbay/clock.py
@@ -7,21 +7,27 @@
 
 
 class Clock:
+    """Set by the Unix clock at the start, once.
+
+    The decisions of several routers agree on periods by dividing the time: with bare monotonic clocks, which
+    begin at the boot of each machine, none of them would understand another's messages.
+    """
+
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
         self._now: int | None = None
-        self._unix_offset = time.time_ns() // 1000 - time.monotonic_ns() // 1000
+        self._offset = time.time_ns() // 1000 - time.monotonic_ns() // 1000
 
     def now(self) -> int:
         """The time of this turn of the loop; the first caller in a turn reads the system's clock."""
         if self._now is None:
-            self._now = time.monotonic_ns() // 1000
+            self._now = time.monotonic_ns() // 1000 + self._offset
             self._loop.call_soon(self._forget)
         return self._now
 
     def _forget(self) -> None:
         self._now = None
 
-    def from_unix_ms(self, moment: int) -> int:
-        """A Unix millisecond on this clock; a moment before the clock's zero counts as its first tick."""
-        return max(1, moment * 1000 - self._unix_offset)
+    def to_loop_time(self, when: int) -> float:
+        """A moment as the loop counts, whose clock is the monotonic one in seconds."""
+        return (when - self._offset) / 1e6
--- a/slipbay/config.py
+++ b/slipbay/config.py
@@ -44,8 +44,13 @@
         return max(8, self.sockets - self.client_sockets - 32)
 
     @property
-    def unsent_bytes(self) -> int:
-        """Answers that may wait for slow readers, over all connections."""
+    def connection_bytes(self) -> int:
+        """Answers that wait for slow readers, and requests that came in part, over all client connections."""
+        return self.memory_mb * 1024 * 1024 // 4
+
+    @property
+    def request_bytes(self) -> int:
+        """Statements of all requests that are open."""
         return self.memory_mb * 1024 * 1024 // 4
 
 
--- a/slipbay/core/router.py
+++ b/slipbay/core/router.py
@@ -95,6 +95,7 @@
     is_repeat: bool = False
     is_write: bool = False
     handle: int = 0  # what its client knows it by
+    size: int = 0  # bytes of its work
 
     id: int = 0
     deadline: int = 0
@@ -128,9 +129,11 @@
 
 class Core:
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, timers: Timers,
-                 decider: api.Decider, settings: api.Settings, max_open: int) -> None:
+                 decider: api.Decider, settings: api.Settings, max_open: int,
+                 max_bytes: int) -> None:
         self._loop, self.clock, self.timers = loop, clock, timers
-        self._decider, self._settings, self._max_open = decider, settings, max_open
+        self._decider, self._settings = decider, settings
+        self._max_open, self._max_bytes, self._bytes = max_open, max_bytes, 0
         self._events: list[api.Event] = []
         self._turn_due = False
         self._next_id = 0
@@ -153,12 +156,13 @@
         self._next_id += 1
         now = self.clock.now()
         request.id, request.deadline = self._next_id, now + request.expires_in_us
-        if len(self.requests) >= self._max_open:
+        if len(self.requests) >= self._max_open or self._bytes + request.size > self._max_bytes:
             request.over = True
             wait = self._settings.max_retry_after_us // 2
             self._loop.call_soon(request.client.answered, request, Refused(wait))
             return
         self.requests[request.id] = request
+        self._bytes += request.size
         request.guard = self.timers.at(request.deadline + GUARD_US, lambda: self._overdue(request))
         self.tell(api.QueryArrived(
             request.id, request.service_class, request.expires_in_us, request.cost_us, request.memory_mb,
@@ -288,5 +292,6 @@
         """A request is kept until it is answered and all its attempts have ended."""
         if request.over and not request.out and request.id in self.requests:
             del self.requests[request.id]
+            self._bytes -= request.size
             if not self.requests:
                 self.idle()
--- a/slipbay/core/timers.py
+++ b/slipbay/core/timers.py
@@ -46,7 +46,7 @@
     def _arm(self) -> None:
         if self._alarm is not None:
             self._alarm.cancel()
-        self._alarm = self._loop.call_at(self._heap[0].when / 1e6, self._fire)
+        self._alarm = self._loop.call_at(self._clock.to_loop_time(self._heap[0].when), self._fire)
 
     def _fire(self) -> None:
         self._alarm = None
--- a/slipbay/feed/journal.py
+++ b/slipbay/feed/journal.py
@@ -7,7 +7,6 @@
 from typing import Any, TypeAlias
 
 from martenkeel import interface as api
-from slipbay.clock import Clock
 from slipbay.config import Config, ConfigError, address
 from slipbay.core.router import Host
 from slipbay.core.timers import Timer, Timers
@@ -28,9 +27,8 @@
 class Journal:
     """Follows the journal service; a cut only costs time, as it resumes after the last event that it has."""
 
-    def __init__(self, config: Config, clock: Clock, timers: Timers, dialer: Dialer, told: Told) -> None:
-        self._config, self._clock, self._timers = config, clock, timers
-        self._dialer, self._told = dialer, told
+    def __init__(self, config: Config, timers: Timers, dialer: Dialer, told: Told) -> None:
+        self._config, self._timers, self._dialer, self._told = config, timers, dialer, told
         self._zones = {name: number for number, name in enumerate(config.zones)}
         self._kinds = {name: number for number, name in enumerate(config.kinds)}
         self.pos = 0
@@ -67,7 +65,7 @@
             engine=str(item["host"]).encode(), zone=self._zones.get(item.get("site", ""), 0),
             kind=self._kinds.get(item.get("class", ""), 0), cell=int(item.get("block") or 0), state=state,
             size=float(item.get("share") or 1.0),
-            ready_at_us=self._clock.from_unix_ms(born) if born > 0 else 0),
+            ready_at_us=born * 1000 if born > 0 else 0),
             address(item.get("dial") or ("0.0.0.0:0" if gone else None), "dial"))
 
     def _connect(self) -> None:
--- a/slipbay/front/jsonrpc.py
+++ b/slipbay/front/jsonrpc.py
@@ -11,7 +11,7 @@
 from slipbay.wire import jsonrpc, sql
 from slipbay.wire.lines import Lines, LineTooLong
 
-MOST_LINE_BYTES = 256 * 1024
+MOST_LINE_BYTES = 128 * 1024
 MOST_OPEN = 32  # requests on a connection
 
 
@@ -35,6 +35,10 @@
     def busy(self) -> bool:
         return bool(self._open)
 
+    @property
+    def unparsed(self) -> int:
+        return self._lines.held
+
     def received(self, data: bytes) -> None:
         self.touch()
         try:
@@ -74,6 +78,9 @@
             raise jsonrpc.Problem(id, jsonrpc.METHOD_NOT_FOUND, "no such method")
         if len(self._open) >= MOST_OPEN:
             raise jsonrpc.Problem(id, jsonrpc.INVALID_REQUEST, "too many requests are open here")
+        if self.server.leaving:  # what we took before is still answered; this one can go elsewhere
+            self.write(jsonrpc.error(id, jsonrpc.REFUSED, "this router is about to end", 0))
+            return
         params = jsonrpc.read_query(call)
         tenant = 0
         if params.team is not None and self._front.tenants:
@@ -84,7 +91,7 @@
             params.txn, self._front.classes[call.method], params.limit_us, params.statement, self,
             self._front.back, params.cost_us, params.memory_mb,
             sql.table_group(params.statement.decode("utf-8", "replace")), tenant, params.is_repeat,
-            handle=id)
+            handle=id, size=len(params.statement))
         self._open[id] = request
         self._front.core.submit(request)
 
--- a/slipbay/front/mysql.py
+++ b/slipbay/front/mysql.py
@@ -75,7 +75,7 @@
             secrets.token_hex(8), number, deadline, work, client, self.back,
             int(cost * 1000) if cost >= 0 else estimate.cost_us,
             _figure(told, "ram_mb", estimate.memory_mb), sql.table_group(text), tenant,
-            is_write=not (work.prepare or outline.only_reads))
+            is_write=not (work.prepare or outline.only_reads), size=work.size)
 
     def _class_of(self, text: str, outline: sql.Outline, told: dict[str, str]) -> int:
         """Hints and rules choose, but what is not plainly a read stays in a class that is never run twice."""
@@ -118,6 +118,11 @@
     def busy(self) -> bool:
         return self._request is not None or bool(self._waiting)
 
+    @property
+    def unparsed(self) -> int:
+        return self._packets.held + sum(
+            len(data) for statement in self._statements.values() for data in statement.long_data.values())
+
     # Bytes
 
     def opened(self) -> None:
@@ -343,6 +348,9 @@
     # Requests
 
     def _submit(self, sequence: int, work: mysql.Work, outline: sql.Outline) -> None:
+        if self.server.leaving:
+            self._error(sequence, mysql.ER_SERVER_SHUTDOWN, "Server shutdown in progress")
+            return
         self._request = self._front.request(work, outline, self._tenant, self)
         self._request.handle = sequence
         self._front.core.submit(self._request)
--- a/slipbay/front/server.py
+++ b/slipbay/front/server.py
@@ -63,22 +63,25 @@
             self.emptied()
 
     def _sweep(self) -> None:
-        """Idle connections go, and where slow readers hold too much memory, those that hold most of it."""
+        """Idle connections go; memory is looked at here too, as it grows in small steps."""
         now = self.now()
         for connection in list(self.connections):
             if not connection.busy and now - connection.touched > connection.idle_us:
                 connection.close() if not connection.unsent else connection.abort()
-        self.bound_unsent()
+        self.bound_memory()
         self._timers.after(SWEEP_US, self._sweep)
 
-    def bound_unsent(self) -> None:
-        waiting = sorted((c for c in self.connections if c.congested), key=lambda c: c.unsent)
-        total = sum(c.unsent for c in waiting)
-        while waiting and total > self._limits.unsent_bytes:
-            slowest = waiting.pop()
-            total -= slowest.unsent
-            log("client", f"a slow reader is cut off with {slowest.unsent} bytes unsent")
-            slowest.abort()
+    def bound_memory(self) -> None:
+        """Where connections hold too much, those that hold most of it are cut off."""
+        held = sorted(((c.unsent + c.unparsed, id(c), c) for c in self.connections), reverse=True)
+        total = sum(size for size, _, _ in held)
+        for size, _, connection in held:
+            if total <= self._limits.connection_bytes:
+                break
+            total -= size
+            log("client", f"a connection is cut off with {connection.unsent} bytes unsent and "
+                          f"{connection.unparsed} of a request that has not come whole")
+            connection.abort()
 
 
 class ClientConnection(Stream):
@@ -95,6 +98,11 @@
         """Whether a request is open on it."""
         raise NotImplementedError
 
+    @property
+    def unparsed(self) -> int:
+        """Bytes of a message that has not come whole."""
+        raise NotImplementedError
+
     def touch(self) -> None:
         self.touched = self.server.now()
 
@@ -115,6 +123,6 @@
         if self.transport is not None and not self.transport.is_closing():
             if self.congested:
                 self.transport.pause_reading()
-                self.server.bound_unsent()
+                self.server.bound_memory()
             else:
                 self.transport.resume_reading()
--- a/slipbay/wire/lines.py
+++ b/slipbay/wire/lines.py
@@ -11,17 +11,17 @@
     def __init__(self, most_bytes: int) -> None:
         self._most = most_bytes
         self._parts: list[bytes] = []
-        self._held = 0
+        self.held = 0
 
     def feed(self, data: bytes) -> list[bytes]:
         """The lines that are whole now, without their ends."""
         *whole, rest = data.split(b"\n")
         if whole:
             whole[0] = b"".join((*self._parts, whole[0]))
-            self._parts, self._held = [], 0
+            self._parts, self.held = [], 0
         if rest:
             self._parts.append(rest)
-            self._held += len(rest)
-        if self._held > self._most or any(len(line) > self._most for line in whole):
+            self.held += len(rest)
+        if self.held > self._most or any(len(line) > self._most for line in whole):
             raise LineTooLong
         return [line.removesuffix(b"\r") for line in whole]
--- a/slipbay/wire/mysql.py
+++ b/slipbay/wire/mysql.py
@@ -89,6 +89,10 @@
                 self._payload.clear()
                 yield sequence, payload
 
+    @property
+    def held(self) -> int:
+        return len(self._data) + len(self._payload)
+
     def rest(self) -> bytes:
         """What has come and is no packet yet; after it the connection speaks something else."""
         rest = bytes(self._data)
@@ -383,6 +387,11 @@
     run: Execution | None = None
     prepare: bool = False
 
+    @property
+    def size(self) -> int:
+        values = len(self.run.values) + sum(map(len, self.run.long_data.values())) if self.run else 0
+        return len(self.sql) + values
+
 
 class ResultReader:
     """Follows the packets of one answer up to its end, be it OK, an error or rows."""
