Test what the guards guard: overtaking DELETEs, stale connections, stuck decisions, limits

The model of an engine's view let calls arrive in the order written; now they fly and overtake each other. No line of the router had to change but the port in its first log line.

--- a/slipbay/__main__.py
+++ b/slipbay/__main__.py
@@ -73,7 +73,7 @@
             mysql_front = MysqlFront(self.config, self.config.mysql, self.core, self.mysql_back)
             await self.server.listen(self.config.mysql.listen,
                                      lambda: MysqlConnection(self.server, mysql_front))
-        log("start", f"{self.config.name} listens at %s:%d" % self.config.listen)
+        log("start", f"{self.config.name} listens at {self.config.listen[0]}:{self.server.ports[0]}")
 
     def end(self) -> None:
         """SIGTERM: take requests a little longer, answer all that were taken, then leave."""
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -95,12 +95,20 @@
         raise BlockingIOError
 
 
+class EndedSocket(QuietSocket):
+    """The other side has closed."""
+
+    def recv(self, size: int, flags: int) -> bytes:
+        return b""
+
+
 class FakeDialer:
     """Connections come up, are refused or stay silent as the test says."""
 
     def __init__(self, loop: FakeLoop, take: Callable[[FakeTransport, bytes], None]) -> None:
         self._loop, self._take = loop, take
         self.waiting: list[tuple[Stream, Callable[[bool], None]]] = []
+        self.transports: list[FakeTransport] = []
 
     def dial(self, address: object, stream: Stream, timeout_us: int,
              failed: Callable[[bool], None]) -> FakeDialer.One:
@@ -118,6 +126,7 @@
         stream, _ = self.waiting.pop(index)
         stream.sock = QuietSocket()  # type: ignore[assignment]
         transport = FakeTransport(self._loop, stream, self._take)
+        self.transports.append(transport)
         stream.connection_made(transport)
         return transport
 
--- a/tests/test_http_exchange.py
+++ b/tests/test_http_exchange.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
 
-from fakes import FakeDialer, FakeLoop, FakeTransport
+from fakes import EndedSocket, FakeDialer, FakeLoop, FakeTransport
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
@@ -33,7 +34,8 @@
 class Attempt:
     """Stands in for the core's."""
 
-    def __init__(self, loop: FakeLoop) -> None:
+    def __init__(self, loop: FakeLoop, check: Callable[[], None]) -> None:
+        self.check = check
         self.engine, self.number, self.sent = ENGINE, 0, loop.us
         self.request = SimpleNamespace(name="9b1f03aa5c7e2d41", service_class=0, priority=1, grant_mb=0.0,
                                        deadline=loop.us + 20_000_000, work=b"SELECT 1", over=False)
@@ -42,6 +44,7 @@
 
     def ended(self, outcome: Outcome, result: object = None) -> None:
         self.ends.append((outcome, result))
+        self.check()
 
     def noted(self, kind: object, value: float) -> None:
         assert not self.ends
@@ -54,24 +57,33 @@
         self.loop = FakeLoop()
         self.dialer = FakeDialer(self.loop, self.written)
         config = SimpleNamespace(classes=("lookup",), connect_timeout_us=250_000, idle_us=30_000_000)
-        self.back = HttpBack(config, self.loop.timers, self.dialer, Sockets(8), self.loop.now)  # type: ignore[arg-type]
+        self.sockets = Sockets(8)
+        self.back = HttpBack(config, self.loop.timers, self.dialer, self.sockets, self.loop.now)  # type: ignore[arg-type]
         entry = SimpleNamespace(engine=ENGINE, state=EngineState.READY, ready_at_us=0)
         self.back.listed(ListKind.CACHED, [Host(entry, ("127.0.0.1", 1))])  # type: ignore[arg-type]
-        self.calls: list[tuple[FakeTransport, str]] = []  # written and not answered
+        self.flying: list[tuple[FakeTransport, str]] = []  # written, and not with the engine yet
+        self.calls: list[tuple[FakeTransport, str]] = []  # with the engine, and not answered
         self.posts = 0
         self.runs_until: int | None = None  # the engine has the query, and drops it then unless it is asked
         self.end = ""  # how it ended, once its end is written
         self.stopped = False
-        self.attempt = Attempt(self.loop)
+        self.attempt = Attempt(self.loop, self.an_ended_attempt_does_not_run_on)
         self.exchange = self.back.start(self.attempt)  # type: ignore[arg-type]
 
     def written(self, transport: FakeTransport, data: bytes) -> None:
-        """A call arrives whole at once; its answer is for a later step."""
         method, path = data.decode().split(" ")[:2]
-        assert not any(other is transport for other, _ in self.calls), "one call at a time on a connection"
-        self.calls.append((transport, f"{method} {path}"))
+        assert not any(other is transport for other, _ in self.calls + self.flying), "one call at a time"
+        self.posts += method == "POST"
+        self.flying.append((transport, f"{method} {path}"))
+
+    @rule(index=st.integers(0, 9))
+    @precondition(lambda self: self.flying)
+    def arrive(self, index: int) -> None:
+        """Calls on several connections overtake each other, and arrive though their sender has closed."""
+        transport, call = self.flying.pop(index % len(self.flying))
+        self.calls.append((transport, call))
+        method, path = call.split(" ")
         if method == "POST":
-            self.posts += 1
             self.runs_until = self.loop.us + HOLD_US + FORGET_US
         elif method == "DELETE":
             self.runs_until = None
@@ -92,9 +104,10 @@
     @precondition(lambda self: self.dialer.waiting)
     def refuse(self) -> None:
         """The process is gone, and with it the query."""
-        for transport, _ in self.calls:
+        for transport, _ in self.calls + self.flying:
             transport.close()
         self.calls.clear()
+        self.flying.clear()
         self.runs_until = None
         self.dialer.refuse(0)
         self.loop.settle()
@@ -121,9 +134,10 @@
         self.loop.settle()
 
     @rule(index=st.integers(0, 9))
-    @precondition(lambda self: self.calls)
+    @precondition(lambda self: self.calls or self.flying)
     def cut(self, index: int) -> None:
-        self.calls.pop(index % len(self.calls))[0].close()
+        calls = self.calls or self.flying
+        calls.pop(index % len(calls))[0].close()
         self.loop.settle()
 
     @rule()
@@ -135,6 +149,8 @@
 
     @rule(ms=st.sampled_from((1, 50, 260, 1100, 2400)))
     def wait(self, ms: int) -> None:
+        while self.flying:  # nothing flies for so long
+            self.arrive(0)
         self.loop.advance(ms * 1000)
 
     @invariant()
@@ -155,11 +171,51 @@
     @invariant()
     def what_ended_soon_is_told(self) -> None:
         """Nothing hangs: with no call out, no connection on its way and no timer, the attempt has ended."""
-        if not self.calls and not self.dialer.waiting and not self.attempt.ends:
+        if not self.calls and not self.flying and not self.dialer.waiting and not self.attempt.ends:
             before = self.loop.us
             self.loop.advance(FORGET_US + HOLD_US + 500_000)
-            assert self.attempt.ends or self.dialer.waiting or self.calls, f"nothing came after {before}"
+            assert self.attempt.ends or self.dialer.waiting or self.flying, f"nothing came after {before}"
 
 
 TestExchange = Exchange.TestCase
 TestExchange.settings = settings(max_examples=300, stateful_step_count=30, deadline=None, derandomize=True)
+
+
+def test_a_delete_does_not_overtake_the_post() -> None:
+    """Guards against a query that starts after it was given up: the two go on connections of their own."""
+    model = Exchange()
+    model.connect()
+    model.stop()
+    assert [call for _, call in model.flying] == ["POST /obj"] and not model.dialer.waiting
+    model.arrive(0)
+    model.answer(0, "nothing")
+    assert [call for _, call in model.flying] == ["DELETE /obj/9b1f03aa5c7e2d41"]
+    assert not model.attempt.ends
+    model.arrive(0)
+    model.answer(0, "nothing")
+    assert model.attempt.ends == [(Outcome.CANCELLED, None)]
+
+
+def test_an_idle_connection_that_has_ended_is_passed_over() -> None:
+    """Guards against a POST into a connection whose end was not read yet: the attempt would be lost."""
+    model = Exchange()
+    model.connect()
+    model.arrive(0)
+    model.answer(0, "page")
+    transport = model.dialer.transports[0]
+    transport.stream.sock = EndedSocket()  # type: ignore[assignment]
+    model.back.start(Attempt(model.loop, lambda: None))  # type: ignore[arg-type]
+    assert not model.flying and len(model.dialer.waiting) == 1
+
+
+def test_a_call_that_is_never_answered_does_not_hold_its_connection() -> None:
+    """Guards against sockets that a silent engine uses up, one for each DELETE."""
+    model = Exchange()
+    model.connect()
+    model.arrive(0)
+    model.answer(0, "nothing")
+    model.stop()
+    model.connect()
+    model.loop.advance(6_000_000)
+    assert model.attempt.ends == [(Outcome.CANCELLED, None)]
+    assert all(transport.closing for transport in model.dialer.transports) and not model.sockets.used
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -5,10 +5,17 @@
 import asyncio
 import base64
 import contextlib
+import socket
+import time
 
 import pytest
+from fakes import FakeLoop, FakeTransport
 from loopback import TXN, HttpCall, Loopback, StandInEngine, event, host, http_answer, one_page, run, until
 
+from martenkeel import interface as api
+from slipbay.config import Limits
+from slipbay.stream import Stream
+
 SQL = "SELECT * FROM sales_17.orders"
 
 
@@ -159,9 +166,10 @@
             net.journal.cut()
             await until(lambda: len(net.journal.asked) == 2)
             assert net.journal.asked == [b"tail 1\n", b"tail 2\n"]
-            net.journal.tell(event(2, host("s-1", new.port)))  # told again: it changes nothing
             net.journal.tell(event(3, host("s-0", old.port, "DELETED")))
-            await until(lambda: net.router.journal.pos == 3)
+            net.journal.tell(event(2, host("s-0", old.port)))  # told again: it changes nothing
+            net.journal.tell(event(4))
+            await until(lambda: net.router.journal.pos == 4)
             client = await net.client()
             for _ in range(4):
                 client.query()
@@ -212,3 +220,69 @@
             await net.router.done.wait()
 
     run(test)
+
+
+class Stuck:
+    """Decisions that never come."""
+
+    def handle(self, now_us: int, events: object) -> list[api.Action]:
+        raise RuntimeError("stuck")
+
+
+def test_a_client_is_answered_in_time_though_the_decisions_are_stuck() -> None:
+    async def test() -> None:
+        async with Loopback(StandInEngine()) as net:
+            net.router.core._decider = Stuck()
+            client = await net.client()
+            client.query(limit=60)
+            started = time.monotonic()
+            assert (await client.answer())["error"]["code"] == -32000
+            assert time.monotonic() - started >= 0.06
+            assert not net.router.core.requests
+
+    run(test)
+
+
+def test_an_idle_connection_that_the_engine_closed_is_seen_before_it_is_used() -> None:
+    """Guards against a POST on a connection whose end has come and was not read: it would be lost."""
+    ours, theirs = socket.socketpair()
+    stream = Stream()
+    stream.sock, stream.transport = ours, FakeTransport(FakeLoop(), stream, lambda transport, data: None)
+    assert not stream.stale()
+    theirs.close()
+    assert stream.stale()
+    ours.close()
+
+
+def test_memory_that_clients_hold_is_bounded() -> None:
+    """The one that holds most goes first, be it a slow reader or a sender of half a line."""
+    async def test() -> None:
+        async with Loopback(StandInEngine()) as net:
+            net.router.server._limits = Limits(1.0, 1, 1024)  # a quarter of 1 MB for connections
+            small, *large = [await net.client() for _ in range(4)]
+            small.writer.write(b"x" * 1000)
+            for client in large:
+                client.writer.write(b"x" * 100_000)
+            await until(lambda: sum(c.unparsed for c in net.router.server.connections) == 301_000)
+            net.router.server.bound_memory()
+            await until(lambda: len(net.router.server.connections) == 3)
+            small.raw(b"")
+            small.send("alive")
+            assert (await small.answer())["error"]["code"] == -32700
+            assert (await small.answer())["result"] == {"well": True}
+
+    run(test)
+
+
+def test_requests_over_the_limit_are_refused() -> None:
+    async def test() -> None:
+        async with Loopback(StandInEngine()) as net:
+            net.router.core._max_bytes = 10
+            client = await net.client()
+            client.query(sql="SELECT 1234567890")
+            assert (await client.answer())["error"] == {
+                "code": -32002, "message": "refused for now", "data": {"later": 250}}
+            client.query(sql="SELECT 1")
+            assert "result" in await client.answer()
+
+    run(test)
