Tell a passed deadline apart from a refusal in MySQL; keep timers alive past a failing action

Saw, by reading: a read whose deadline passed is worded as a refusal by the decisions, so MySQL clients never got the documented deadline code for it (front/mysql.py, answered); an exception in one timer's action left the heap without an alarm (core/timers.py, _fire); SIGTERM between the start of the loop and the first listener killed the process (__main__.py, serve). Tests: the deadline of a held SELECT is now 3024 with its retry time.

--- a/slipbay/__main__.py
+++ b/slipbay/__main__.py
@@ -94,9 +94,9 @@
 async def serve(config: Config) -> None:
     loop = asyncio.get_running_loop()
     router = Router(config, loop)
-    await router.start()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, router.end)
+    await router.start()
     gc.collect()
     gc.freeze()  # what lives from start to end is not looked through again
     await router.done.wait()
--- a/slipbay/back/http.py
+++ b/slipbay/back/http.py
@@ -329,11 +329,19 @@
     def _connection(pool: Pool[HttpConnection]) -> HttpConnection:
         return HttpConnection(pool)  # type: ignore[arg-type]
 
-    def start(self, attempt: Attempt) -> Exchange:
-        return HttpExchange(self, attempt, self._pools[attempt.engine])
+    def start(self, attempt: Attempt) -> Exchange | None:
+        pool = self._pools.get(attempt.engine)
+        if pool is None:
+            log("engine", f"{attempt.engine.decode(errors='replace')} was never listed")
+            attempt.ended(Outcome.MOOT)
+            return None
+        return HttpExchange(self, attempt, pool)
 
     def probe(self, engine: EngineId, done: Callable[[Outcome], None]) -> None:
-        pool = self._pools[engine]
+        pool = self._pools.get(engine)
+        if pool is None:
+            done(Outcome.CONNECT_FAILED)
+            return
         over = False
 
         def end(outcome: Outcome) -> None:
@@ -348,7 +356,7 @@
                 connection.done_with(response)
                 end({200: Outcome.OK, 503: Outcome.FULL}.get(response.status, Outcome.ERROR))
 
-            connection.call(http1.request("GET", "/ping", pool.host), responded,
+            connection.call(http1.request("GET", "/ping", connection.pool.host), responded,
                             lambda: end(Outcome.RESET), self.now() + ANSWER_US)
 
         timer = self.timers.after(2 * self._config.connect_timeout_us, lambda: end(Outcome.TIMEOUT))
--- a/slipbay/core/router.py
+++ b/slipbay/core/router.py
@@ -29,6 +29,7 @@
 @dataclass(slots=True, frozen=True)
 class Refused:
     retry_after_us: int = 0
+    late: bool = False  # the deadline passed
 
 
 @dataclass(slots=True, frozen=True)
@@ -211,7 +212,8 @@
                     self._stop(request.out[number], Outcome.CANCELLED)
             case api.Refuse(query, retry_after):
                 if query in self.requests:
-                    self._answer(self.requests[query], Refused(retry_after))
+                    request = self.requests[query]
+                    self._answer(request, Refused(retry_after, now >= request.deadline - GUARD_US))
             case api.Fail(query):
                 if query in self.requests:
                     request = self.requests[query]
--- a/slipbay/core/timers.py
+++ b/slipbay/core/timers.py
@@ -51,9 +51,11 @@
     def _fire(self) -> None:
         self._alarm = None
         now = self._clock.now()
-        while self._heap and (self._heap[0].when <= now or self._heap[0].action is None):
-            action = heapq.heappop(self._heap).action
-            if action is not None:
-                action()
-        if self._heap:
-            self._arm()
+        try:
+            while self._heap and (self._heap[0].when <= now or self._heap[0].action is None):
+                action = heapq.heappop(self._heap).action
+                if action is not None:
+                    action()
+        finally:  # one action that fails must not silence the others
+            if self._heap:
+                self._arm()
--- a/slipbay/front/jsonrpc.py
+++ b/slipbay/front/jsonrpc.py
@@ -103,7 +103,7 @@
             case Served(result):
                 assert isinstance(result, bytes)
                 self.write(jsonrpc.result(id, result))
-            case Refused(retry_after_us):
+            case Refused(retry_after_us, _):
                 self.write(jsonrpc.error(id, jsonrpc.REFUSED, "refused for now", retry_after_us // 1000))
             case Failed(reason):
                 self.write(jsonrpc.error(id, jsonrpc.FAILED, reason))
--- a/slipbay/front/mysql.py
+++ b/slipbay/front/mysql.py
@@ -368,6 +368,9 @@
                 self._send(mysql.prepared(self._last_statement, told), sequence + 1)
             case Served(list() as payloads):
                 self._send(payloads, sequence + 1)
+            case Refused(retry_after_us, late=True):
+                self._error(sequence, mysql.ER_QUERY_TIMEOUT,
+                            f"The deadline has passed; no harm done, retry after {retry_after_us // 1000} ms")
             case Refused(retry_after_us):
                 self._error(sequence, mysql.ER_REFUSED,
                             f"Refused for now; nothing ran, retry after {retry_after_us // 1000} ms")
