--- a/slipbay/front/jsonrpc.py
+++ b/slipbay/front/jsonrpc.py
@@ -63,9 +63,12 @@
             self.write(jsonrpc.error(problem.id, problem.code, problem.text))
 
     def _cancel(self, call: jsonrpc.Call) -> None:
-        request = self._open.pop(jsonrpc.cancelled_id(call) or 0, None)
-        if request is not None:
-            self._front.core.gone(request)
+        named = jsonrpc.cancelled(call)
+        for id, request in self._open.items():
+            if named in (id, request.name):
+                del self._open[id]
+                self._front.core.gone(request)
+                break
 
     def _answer_call(self, call: jsonrpc.Call, id: int) -> None:
         if id <= self._last_id:
--- a/slipbay/wire/jsonrpc.py
+++ b/slipbay/wire/jsonrpc.py
@@ -67,10 +67,10 @@
     return Call(id, method, params)
 
 
-def cancelled_id(call: Call) -> int | None:
-    """Which request a ``cancelRequest`` names."""
-    named = call.params.get("id", call.id)
-    return named if _is_id(named) else None
+def cancelled(call: Call) -> int | str | None:
+    """Which request a ``cancelRequest`` names: by its id, or by its txn."""
+    named = call.params.get("id", call.params.get("txn", call.id))
+    return named if _is_id(named) or isinstance(named, str) else None
 
 
 def read_query(call: Call) -> QueryParams:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -167,8 +167,9 @@
         found: dict[str, Any] = json.loads(line)
         return found
 
-    def cancel(self, id: int) -> None:
-        self.raw(json.dumps({"jsonrpc": "2.0", "method": "cancelRequest", "params": {"id": id}}).encode())
+    def cancel(self, named: int | str) -> None:
+        params = {"id" if isinstance(named, int) else "txn": named}
+        self.raw(json.dumps({"jsonrpc": "2.0", "method": "cancelRequest", "params": params}).encode())
 
 
 class Loopback:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -88,6 +88,8 @@
         async with Loopback(engine) as net:
             client = await net.client()
             client.cancel(client.query())  # at once: it may not have been sent yet
+            client.query()
+            client.cancel(TXN)
             id = client.query()
             await posted.wait()
             client.cancel(id)
