--- a/slipbay/back/mysql.py
+++ b/slipbay/back/mysql.py
@@ -80,22 +80,22 @@
                                           self._config.schema, plugin)), sequence + 1)
 
     def _authenticated(self, sequence: int, payload: bytes) -> None:
-        match payload[:1]:
-            case b"\x00":
+        match payload[0] if payload else None:
+            case mysql.OK:
                 self._take = self._answered
                 self.usable()
-            case b"\xfe":
+            case mysql.AUTH_SWITCH:
                 plugin, challenge = mysql.read_auth_switch(payload)
                 proof = mysql.prove(plugin, self._config.engine_password, challenge)
                 if proof is None:
                     raise mysql.MalformedPacket(f"the engine wants the unknown plugin {plugin}")
                 self.send(proof, sequence + 1)
-            case b"\x01" if payload[1:2] == bytes([mysql.FAST_AUTH_OK]):
+            case mysql.MORE_DATA if payload[1:2] == bytes([mysql.FAST_AUTH_OK]):
                 pass  # OK follows
-            case b"\x01":
+            case mysql.MORE_DATA:
                 # It would want the password itself, which we do not send over a connection in the clear.
                 raise mysql.MalformedPacket("the engine does not know the password's digest yet")
-            case b"\xff":
+            case mysql.ERR:
                 self._turned_away(payload)
             case _:
                 raise mysql.MalformedPacket("an unknown packet in the login")
--- a/slipbay/feed/journal.py
+++ b/slipbay/feed/journal.py
@@ -16,6 +16,7 @@
 
 STATES = {"SERVING": api.EngineState.READY, "DRAINING": api.EngineState.DRAINING,
           "DELETED": api.EngineState.GONE}
+UNREADABLE = (ConfigError, KeyError, TypeError, ValueError, AttributeError, RecursionError)
 MOST_LINE_BYTES = 4 * 1024 * 1024
 SILENCE_US = 3_000_000  # a line comes each second; after three without one the connection is taken for dead
 RETRY_US, CONNECT_US = 200_000, 1_000_000
@@ -32,6 +33,7 @@
         self._zones = {name: number for number, name in enumerate(config.zones)}
         self._kinds = {name: number for number, name in enumerate(config.kinds)}
         self.pos = 0
+        self._asked_after = -1  # the last event before a gap that was asked about
         self._stream: _Tail | None = None
         self._dial: Dial | None = None
         self._due: Timer | None = None
@@ -42,7 +44,7 @@
         for event in self._config.known.get("entries", []):
             try:
                 pos, whole, changed = self._read(event)
-            except (ConfigError, KeyError, TypeError, ValueError, AttributeError) as problem:
+            except UNREADABLE as problem:
                 raise ConfigError(f"known.entries: {problem}") from None
             if whole:
                 hosts.clear()
@@ -54,8 +56,14 @@
         self._connect()
 
     def _read(self, event: dict[str, Any]) -> tuple[int, bool, list[Host]]:
-        return int(event["pos"]), bool(event["hosts"].get("whole")), [
-            self._host(item) for item in event["hosts"]["hosts"]]
+        """One event; an entry that can't be read is left out, as the others must not wait for it."""
+        hosts = []
+        for item in event["hosts"]["hosts"]:
+            try:
+                hosts.append(self._host(item))
+            except UNREADABLE as problem:
+                log("journal", f"an entry cannot be read: {type(problem).__name__}: {problem}")
+        return int(event["pos"]), bool(event["hosts"].get("whole")), hosts
 
     def _host(self, item: dict[str, Any]) -> Host:
         born = int(item.get("born_ms") or 0)
@@ -96,13 +104,16 @@
         if stream is not None:
             stream.abort()
 
+    def follows(self, stream: _Tail) -> bool:
+        return stream is self._stream
+
     def cut(self, stream: _Tail) -> None:
-        if stream is self._stream:
+        if self.follows(stream):
             log("journal", "the connection to the journal service ended; connecting anew")
             self._again()
 
     def take(self, stream: _Tail, line: bytes) -> None:
-        if stream is not self._stream:
+        if not self.follows(stream):
             return
         self.heard()
         try:
@@ -112,13 +123,14 @@
                     log("journal", f"event {event['pos']} is out and {self.pos} is the last that came")
                 return
             pos, whole, hosts = self._read(event)
-        except (ConfigError, KeyError, TypeError, ValueError, AttributeError, RecursionError) as problem:
+        except UNREADABLE as problem:
             log("journal", f"a line cannot be read: {type(problem).__name__}: {problem}")
             return
         if pos <= self.pos:
             return  # told before the cut
-        if pos > self.pos + 1 and not whole:
-            log("journal", f"event {pos} came after {self.pos}; asking for those between")
+        if pos > self.pos + 1 and not whole and self._asked_after != self.pos:
+            log("journal", f"event {pos} came after {self.pos}; asking for those between, once")
+            self._asked_after = self.pos
             stream.abort()
             return
         self.pos = pos
@@ -130,6 +142,8 @@
         self._journal, self._lines = journal, Lines(MOST_LINE_BYTES)
 
     def opened(self) -> None:
+        if not self._journal.follows(self):  # it came up after we had given it up
+            self.abort()
         self.write(b"tail %d\n" % self._journal.pos)
 
     def received(self, data: bytes) -> None:
--- a/slipbay/front/mysql.py
+++ b/slipbay/front/mysql.py
@@ -247,29 +247,29 @@
         self._carry_out(sequence, payload)
 
     def _carry_out(self, sequence: int, payload: bytes) -> None:
-        match payload[:1]:
-            case b"\x01":  # quit
+        match payload[0] if payload else None:
+            case mysql.COM_QUIT:
                 self.close()
-            case b"\x0e":  # ping
+            case mysql.COM_PING:
                 self._send([mysql.ok()], sequence + 1)
-            case b"\x03":
+            case mysql.COM_QUERY:
                 self._query(sequence, payload[1:])
-            case b"\x16":
+            case mysql.COM_STMT_PREPARE:
                 self._prepare(sequence, payload[1:])
-            case b"\x17":
+            case mysql.COM_STMT_EXECUTE:
                 self._execute(sequence, payload)
-            case b"\x18":
+            case mysql.COM_STMT_SEND_LONG_DATA:
                 self._long_data(payload)
-            case b"\x19":  # close a statement; no answer
+            case mysql.COM_STMT_CLOSE:  # it has no answer
                 self._statements.pop(mysql.statement_of(payload), None)
-            case b"\x1a":
+            case mysql.COM_STMT_RESET:
                 self._reset(sequence, payload)
-            case b"\x1f":  # reset the connection: the statements are all that it has
+            case mysql.COM_RESET_CONNECTION:  # the statements are all that it has
                 self._statements.clear()
                 self._send([mysql.ok()], sequence + 1)
-            case b"\x02":
+            case mysql.COM_INIT_DB:
                 self._unsupported(sequence, "a change of schema")
-            case b"\x1c":
+            case mysql.COM_STMT_FETCH:
                 self._unsupported(sequence, "cursors")
             case _:
                 self._error(sequence, mysql.ER_UNKNOWN_COM, "Unknown command")
--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,81 @@
+"""The journal's oddities, and word between routers."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from dataclasses import replace
+
+from loopback import HOST, Loopback, StandInEngine, event, host, run, until
+
+from slipbay.feed.peers import Peers
+
+
+def test_events_that_cannot_be_read_do_not_stop_the_others() -> None:
+    async def test() -> None:
+        async with Loopback(StandInEngine()) as net:
+            journal = net.journal
+            await until(lambda: bool(journal.writers))
+            journal.writers[0].write(b"not json\n[1]\n7\n{}\n")
+            journal.tell(event(2, {**host("s-1", 1), "health": "DANCING"}, host("s-2", 2)))
+            await until(lambda: net.router.journal.pos == 2)
+            assert b"s-2" in net.router.back._pools and b"s-1" not in net.router.back._pools
+            journal.tell(event(5, host("s-5", 5)))  # those between are asked for
+            await until(lambda: len(journal.asked) == 2)
+            assert journal.asked[-1] == b"tail 2\n"
+            journal.tell(event(5, host("s-5", 5)))  # and are not to be had
+            await until(lambda: net.router.journal.pos == 5)
+            assert b"s-5" in net.router.back._pools
+
+    run(test)
+
+
+def test_a_journal_that_is_not_there_yet_is_tried_again() -> None:
+    async def test() -> None:
+        async with Loopback(StandInEngine()) as net:
+            await until(lambda: bool(net.journal.writers))
+            net.journal.server.close()
+            net.journal.cut()
+            await until(lambda: net.router.journal._due is not None and not net.journal.writers)
+            net.journal.server = await asyncio.start_server(net.journal._serve, HOST, net.journal.port)
+            await until(lambda: len(net.journal.asked) == 2)
+
+    run(test)
+
+
+def test_messages_of_peers_are_known_by_their_address() -> None:
+    async def test() -> None:
+        async with Loopback() as net:
+            others = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(3)]
+            for other in others:
+                other.bind((HOST, 0))
+                other.setblocking(False)
+            ours = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            ours.bind((HOST, 0))
+            address = ours.getsockname()
+            ours.close()
+            settings = replace(net.router.config.settings, may_tell=True, gateways=2)
+            config = replace(net.router.config, settings=settings, peer_listen=address,
+                             peers_all=others[1].getsockname(), peers=(address, others[0].getsockname()))
+            heard: list[tuple[int, bytes]] = []
+            peers = Peers(config, lambda sender, body: heard.append((sender, body)))
+            await peers.start()
+            others[2].sendto(b"a stranger", address)
+            others[0].sendto(b"x" * 257, address)
+            others[0].sendto(b"word", address)
+            await until(lambda: bool(heard))
+            assert heard == [(1, b"word")]
+            loop = asyncio.get_running_loop()
+            peers.send(b"to one", 1)
+            assert await loop.sock_recv(others[0], 300) == b"to one"
+            peers.send(b"x" * 257, None)  # longer than any may be: it is not sent
+            peers.send(b"to nobody", 9)
+            peers.send(b"to all", None)
+            assert await loop.sock_recv(others[1], 300) == b"to all"
+            peers.close()
+            for other in others:
+                other.close()
+
+    run(test)
+
+
