--- a/slipbay/wire/mysql.py
+++ b/slipbay/wire/mysql.py
@@ -46,7 +46,7 @@
 STATUS_AUTOCOMMIT = 2
 MOST_IN_PACKET = 0xFFFFFF
 OK, EOF, ERR, LOCAL_INFILE, MORE_DATA, AUTH_SWITCH = 0x00, 0xFE, 0xFF, 0xFB, 0x01, 0xFE
-FAST_AUTH_OK, FULL_AUTH = 0x03, 0x04
+FAST_AUTH_OK = 0x03
 
 _U16, _U32 = Struct("<H"), Struct("<I")
 _RESPONSE_HEAD = Struct("<IIB23x")  # capabilities, longest packet, character set
@@ -403,14 +403,14 @@
     def feed(self, payload: bytes) -> bool:
         """Take a payload in; true if the answer is whole."""
         self.payloads.append(payload)
-        first = payload[:1]
-        if not payload or first == b"\xfb" and self._eofs < 0:
+        first = payload[0] if payload else LOCAL_INFILE
+        if first == LOCAL_INFILE and self._eofs < 0:
             raise MalformedPacket("an answer that can't be passed on")
-        if first == b"\xff":
+        if first == ERR:
             return True
         if self._eofs < 0:
             self._eofs = 2
-            return first == b"\0"
+            return first == OK
         self._eofs -= is_eof(payload)
         return not self._eofs
 
