--- a/slipbay/__main__.py
+++ b/slipbay/__main__.py
@@ -7,6 +7,8 @@
 import os
 import signal
 import sys
+from collections.abc import Mapping
+from dataclasses import fields
 
 from martenkeel import Controller
 from martenkeel import interface as api
@@ -75,6 +77,20 @@
                                      lambda: MysqlConnection(self.server, mysql_front))
         log("start", f"{self.config.name} listens at {self.config.listen[0]}:{self.server.ports[0]}")
 
+    def reload(self, environment: Mapping[str, str]) -> None:
+        """SIGHUP: read and check the whole configuration; only ``journal`` changes in a running router."""
+        try:
+            new = load(environment)
+        except ConfigError as problem:
+            log("reload", f"bad configuration, the old one stays: {problem}")
+            return
+        # compared as they were read: the positions known at a start mean nothing to a running router
+        changed = [item.name for item in fields(new) if item.name not in ("journal", "known")
+                   and getattr(new, item.name) != getattr(self.config, item.name)]
+        log("reload", "the configuration was read again" + (
+            f"; takes effect at the next start: {', '.join(changed)}" if changed else ""))
+        self.journal.follow(new.journal)
+
     def end(self) -> None:
         """SIGTERM: take requests a little longer, answer all that were taken, then leave."""
         if not self._ending:
@@ -96,6 +112,7 @@
     router = Router(config, loop)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, router.end)
+    loop.add_signal_handler(signal.SIGHUP, router.reload, os.environ)
     await router.start()
     gc.collect()
     gc.freeze()  # what lives from start to end is not looked through again
--- a/slipbay/feed/journal.py
+++ b/slipbay/feed/journal.py
@@ -11,7 +11,7 @@
 from slipbay.core.router import Host
 from slipbay.core.timers import Timer, Timers
 from slipbay.log import log
-from slipbay.stream import Dial, Dialer, Stream
+from slipbay.stream import Address, Dial, Dialer, Stream
 from slipbay.wire.lines import Lines, LineTooLong
 
 STATES = {"SERVING": api.EngineState.READY, "DRAINING": api.EngineState.DRAINING,
@@ -29,7 +29,8 @@
     """Follows the journal service; a cut only costs time, as it resumes after the last event that it has."""
 
     def __init__(self, config: Config, timers: Timers, dialer: Dialer, told: Told) -> None:
-        self._config, self._timers, self._dialer, self._told = config, timers, dialer, told
+        self._timers, self._dialer, self._told = timers, dialer, told
+        self._address, self._known = config.journal, config.known
         self._zones = {name: number for number, name in enumerate(config.zones)}
         self._kinds = {name: number for number, name in enumerate(config.kinds)}
         self.pos = 0
@@ -41,7 +42,7 @@
     def start(self) -> None:
         """Tell the list of the start as one, then follow its changes."""
         hosts: dict[bytes, Host] = {}
-        for event in self._config.known.get("entries", []):
+        for event in self._known.get("entries", []):
             try:
                 pos, whole, changed = self._read(event)
             except UNREADABLE as problem:
@@ -50,7 +51,7 @@
                 hosts.clear()
             hosts.update((host.entry.engine, host) for host in changed)
             self.pos = max(self.pos, pos)
-        self.pos = max(self.pos, int(self._config.known.get("pos", 0)))
+        self.pos = max(self.pos, int(self._known.get("pos", 0)))
         self._told(api.ListKind.CACHED, [
             host for host in hosts.values() if host.entry.state is not api.EngineState.GONE])
         self._connect()
@@ -79,10 +80,28 @@
     def _connect(self) -> None:
         self._stream = _Tail(self)
         self._dial = self._dialer.dial(
-            self._config.journal, self._stream, CONNECT_US, lambda refused: self._again())
+            self._address, self._stream, CONNECT_US, lambda refused: self._again())
         if self._dial is not None:
             self.heard()
 
+    def follow(self, address: Address) -> None:
+        """The journal service is at another address now; positions carry on there."""
+        if address != self._address:
+            log("journal", f"following {address[0]}:{address[1]} from {self.pos} on")
+            self._address = address
+            self._leave()
+            self._connect()
+
+    def _leave(self) -> None:
+        """Let go of the connection, up or not; what it may still bring is not heeded."""
+        stream, self._stream = self._stream, None
+        if self._due is not None:
+            self._due.cancel()
+        if self._dial is not None:
+            self._dial.give_up()
+        if stream is not None:
+            stream.abort()
+
     def _again(self) -> None:
         """Connect anew in a while."""
         if self._due is not None:
@@ -97,12 +116,8 @@
 
     def _silent(self) -> None:
         log("journal", "no word from the journal service; connecting anew")
-        stream = self._stream
-        if self._dial is not None:
-            self._dial.give_up()
+        self._leave()
         self._again()
-        if stream is not None:
-            stream.abort()
 
     def follows(self, stream: _Tail) -> bool:
         return stream is self._stream
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -16,11 +16,16 @@
 ROOT = Path(__file__).parent.parent
 
 
-def start(folder: Path, **changes: object) -> subprocess.Popen[str]:
+def configure(folder: Path, **changes: object) -> Path:
     config = folder / "config.json"
     config.write_text(json.dumps({
         "name": "n0", "listen": f"{HOST}:0", "journal": f"{HOST}:1", "settings": SETTINGS,
         "known": {"pos": 1, "entries": [event(1, host("s-0", 1), whole=True)]}, **changes}))
+    return config
+
+
+def start(folder: Path, **changes: object) -> subprocess.Popen[str]:
+    config = configure(folder, **changes)
     return subprocess.Popen([sys.executable, "-m", "slipbay"], cwd=ROOT, text=True, stderr=subprocess.PIPE,
                             env={**os.environ, "GW_CONFIG": str(config)})
 
@@ -38,6 +43,32 @@
     process.stderr.close()
 
 
+def test_sighup_moves_to_the_new_journal_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    """Guards against an end on SIGHUP, and against one in which connections or the journal are lost."""
+    with socket.create_server((HOST, 0)) as old, socket.create_server((HOST, 0)) as new:
+        process = start(tmp_path, journal=f"{HOST}:{old.getsockname()[1]}")
+        assert process.stderr is not None
+        port = int(next(line for line in process.stderr if "listens at" in line).rpartition(":")[2])
+        with socket.create_connection((HOST, port)) as client, old.accept()[0] as before:
+            assert before.makefile().readline() == "tail 1\n"
+            before.sendall(json.dumps(event(2, host("s-1", 2))).encode() + b"\n")
+            before.sendall(b'{"pos":2}\n')
+            configure(tmp_path, listen="nowhere")
+            process.send_signal(signal.SIGHUP)
+            assert "the old one stays: listen:" in next(line for line in process.stderr if "reload" in line)
+            configure(tmp_path, journal=f"{HOST}:{new.getsockname()[1]}", seed="7")
+            process.send_signal(signal.SIGHUP)
+            assert next(line for line in process.stderr if "reload" in line).endswith("next start: seed\n")
+            with new.accept()[0] as after:
+                assert after.makefile().readline() == "tail 2\n"
+                assert before.recv(1) == b""
+                client.sendall(b'{"jsonrpc":"2.0","id":1,"method":"alive"}\n')
+                assert '"well":true' in client.makefile().readline()
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(10) == 0
+        process.stderr.close()
+
+
 def test_a_faulty_configuration_ends_the_start_with_its_key(tmp_path: Path) -> None:
     process = start(tmp_path, listen="nowhere")
     _, told = process.communicate(timeout=10)
