Hold an error against an engine for its class, once another has run the query

Checked and excluded: connect failures (only the engine that vanished), broken answers (asked again), load (threads under room, no pressure). At fault: decide.py judge (errors of any class and any query put the whole engine out until any good answer). Now an error counts for the engine and class, after another engine has run the same query; two in a row rest the engine for that class for 5 s; a query that errs on two sound engines is answered.

--- a/martenkeel/decide.py
+++ b/martenkeel/decide.py
@@ -29,7 +29,9 @@
 HASTE, USUAL = 3, 1  # priorities of the class with most worth for its work, and of all others
 SILENCE = 2.5  # progress periods (aims, where no notes are sent) without a word while one is owed
 STALL = 3 * WATCH  # us that our own timer comes late when it was we who stood still
-ERROR_SHARE = 0.19  # running share of errors that puts an engine out; one error, until a good answer
+ERROR_SHARE = 0.19  # running share of broken connections that keeps an engine out after a good answer
+FAULT_SHARE = 0.3  # running share of errors that makes it unfit for a class; two with none well between
+FAULT_REST = 5 * SECOND  # us that an engine gets no queries of a class that it errs on
 TRIAL_SHARE = 0.05  # part of our sends that may try engines judged ill; each may cost its query the aim
 CORE_WORK = 0.85  # share of its cores' time that an engine's capacity stands for
 COLD_MARGIN = 0.5  # part of the cold budget that is used; turns that follow each other may share a window
@@ -170,15 +172,16 @@
         if pressed and not told and self.threads >= self.room and query.cls is not self.first():
             return None
         fits = [e for e in self.engines.values() if self.allowed(query, e, now)]
-        spread = all(e.ill for e in fits)  # rather our own view is at fault than they
+        sick = {e for e in fits if e.ill or e.unfit(query.cls, now)}
+        spread = len(sick) == len(fits)  # rather our own view is at fault than they
         home = None if spec.is_load else self.home(query.group)
         if told:  # what all gateways know would send them all to the same engine
             drawn = self.random.sample(fits, min(SAMPLE, len(fits)))
-            fits = [e for e in fits if e.ill or e.entry.engine == home or e in drawn]
+            fits = [e for e in fits if e in sick or e.entry.engine == home or e in drawn]
         best: tuple[tuple[float, ...], Engine] | None = None
         for e in fits:
             trial = e.ill and self.trials >= 1 and spec.effect is Effect.SAFE
-            if e.ill and not (trial or spread):
+            if e in sick and not (trial or spread):
                 continue
             capacity = self.capacity(e, now)  # under 1: cold with room for us now, as for few: so we use it
             share = capacity / max(1.0, e.paces.value() / (self.paces.value() or 1.0))
@@ -189,7 +192,7 @@
             clash = e.locks.get(query.group, 0) > now and (spec.is_load or spec.waits_for_loads)
             warm = WARM_BONUS * (capacity < 1 or query.group in e.warm or (e.entry.engine == home) / 2)
             holding = (threads + spec.threads - warm) / share
-            rank = (clash, e is query.last, e.ill - 2 * trial, holding, self.random.random())
+            rank = (clash, e is query.last, (e in sick) - 2 * trial, holding, self.random.random())
             if best is None or rank < best[0]:
                 best = (rank, e)
         return best[1] if best else None
@@ -276,13 +279,14 @@
             query.maybe_since, query.ran_on = attempt.sent, e
         if query.key and event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
             self.lines.rests[query.key] = now + self.settings.key_rest_us
-        self.judge(e, event.outcome, now)
+        again = not query.out and self.may_retry(query, now, query.maybe_since, self.owed())
+        unfit = self.blame(query, e, event.outcome, again, now)
         if event.outcome is Outcome.OK:
             self.learn(query, attempt, event, now)
         if event.complete:
             self.close(query, now)
         elif not query.done and not query.out:
-            if self.may_retry(query, now, query.maybe_since, self.owed()):
+            if again and not unfit:
                 cls.hold(query)
                 cls.queue.appendleft(query)
             else:
@@ -348,8 +352,34 @@
         return (query.sent < settings.max_attempts and now < query.deadline - LEAVE * settings.tick_us
                 and (settings.extra_free is None or room >= 1))
 
+    def blame(self, query: Query, e: Engine, outcome: Outcome, again: bool, now: int) -> bool:
+        """Judge the engine, but for an error only once another has answered the query well: what none can run
+        errs everywhere. True if two have erred that run its class, so that a third is not worth a try."""
+        cls, unfit = query.cls, e.unfit(query.cls, now)
+        if outcome is not Outcome.ERROR:
+            self.judge(e, outcome, now)
+            if outcome is Outcome.OK:
+                self.err(e, cls, False, now)
+                if query.erred:
+                    self.err(query.erred, cls, True, now)
+            return False
+        e.word = now
+        if query.erred not in (None, e) and not unfit:
+            return True
+        if again and not unfit and query.erred is None:
+            query.erred = e
+        else:
+            self.err(e, cls, True, now)
+        return False
+
+    def err(self, e: Engine, cls: ClassState, bad: bool, now: int) -> None:
+        """An engine may err on one class and run others well, so that they say nothing of it."""
+        share, until = e.faults.get(cls, (0.0, 0))
+        share += LEARN * (bad - share)
+        e.faults[cls] = share, now + FAULT_REST if bad and share > FAULT_SHARE else until
+
     def judge(self, e: Engine, outcome: Outcome, now: int) -> None:  # by symptoms, whatever their cause
-        bad = outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET)
+        bad = outcome in (Outcome.CONNECT_FAILED, Outcome.RESET)
         if outcome is Outcome.FULL:  # far past any useful load; a hung engine fills up and turns all away
             self.pressure_until = now + PRESSURE_HOLD
             e.ill = True
@@ -358,7 +388,7 @@
             e.errors += LEARN * (bad - e.errors)
         if outcome is Outcome.CONNECT_FAILED:
             e.down_at = now  # it may be back, and cold, before the list tells
-        if bad and (outcome is not Outcome.ERROR or e.errors > ERROR_SHARE):
+        if bad:
             e.ill = True
         elif outcome is Outcome.OK:
             e.ill &= e.errors >= ERROR_SHARE
--- a/martenkeel/state.py
+++ b/martenkeel/state.py
@@ -61,6 +61,7 @@
     word: int = 0  # when it last gave a sign of life
     errors: float = 0.0
     ill: bool = False
+    faults: dict[ClassState, tuple[float, int]] = field(default_factory=dict)  # share; out until
     down_at: int = 0  # when it last refused or broke a connection; 0 after news of a new process
 
     cores: float = 1.0
@@ -89,6 +90,10 @@
                 a.query.group == query.group and a.query.cls.spec.is_load for a in self.attempts.values()):
             self.locks.pop(query.group, None)
 
+    def unfit(self, cls: ClassState, now: int) -> bool:
+        """Whether it errs on queries of the class, though it may run others well."""
+        return cls in self.faults and now < self.faults[cls][1]
+
     def leave(self) -> None:
         self.entry = replace(self.entry, state=api.EngineState.GONE)
 
@@ -98,6 +103,7 @@
             self.errors, self.paces, self.ill, self.down_at = 0.0, Ratio(), False, 0
             self.warm.clear()
             self.locks.clear()
+            self.faults.clear()
         self.entry, self.cores = entry, cores
 
 
@@ -190,6 +196,7 @@
     maybe_since: int | None = None  # send time of the first attempt that may have run
     ran_on: Engine | None = None  # and its engine
     last: Engine | None = None
+    erred: Engine | None = None  # the first that answered with an error, be it its own fault or the query's
 
 
 @dataclass(slots=True, eq=False)
