--- a/martenkeel/decide.py
+++ b/martenkeel/decide.py
@@ -38,6 +38,7 @@
 COLD_TURNS = 8  # gateways that may use a cold engine in the same window; a share each takes a light query
 RAMP_WAIT = 0.5  # part of the ramp before growth is counted on; how it grows is not told
 WARM_BONUS = 4.0  # threads that a warm group may outweigh; reading is a part of the work only
+CROSSING = 1.5  # threads that an engine in our own zone may hold more; a query that crosses has its price
 OVERDUE = 2.0  # an attempt is moved if what is left takes so many times longer than a new start
 OVERDUE_LEAST = 500_000  # us that a move must save at the least
 TELL = SECOND // 2  # us between what gateways tell each other of threads held; half of it to collect
@@ -55,7 +56,8 @@
         self.queries: dict[int, Query] = {}
         self.timers: dict[int, Callable[[int], None]] = {}
         self.token, self.started, self.next_watch, self.next_reset = 0, -1, 0, 0
-        self.ring: list[api.EngineId] = []  # ready engines in the order of their digests, alike everywhere
+        self.ready = 0  # engines that the list says are
+        self.ring: list[api.EngineId] = []  # those of our zone by their digests, alike at all its gateways
         self.seen: dict[float, int] = {}  # queries that came, by group
         self.arcs: dict[float, tuple[float, float]] = {}  # by group, start and length of its home there
         self.pressure_until, self.best_pace, self.paces = 0, 0.0, Ratio()
@@ -105,7 +107,7 @@
         cls.largest = max(cls.largest, query.cost)
         self.timer(query.deadline - LEAVE // 2 * self.settings.tick_us, lambda at: self.answer(query, at))
         if not cls.rate:  # DESIGN: rho starts at aim over first told cost divided by ready engines
-            cls.rate = query.cost * max(1, len(self.ring)) / cls.aim(query.cost) * SECOND
+            cls.rate = query.cost * max(1, self.ready) / cls.aim(query.cost) * SECOND
             self.predict(cls, now)
         alone = len(cls.present) == 1 and not self.pressed(now)  # its class's share has added up meanwhile
         if query.cost + cls.queued > cls.bound and not alone:
@@ -191,7 +193,8 @@
                 continue
             clash = e.locks.get(query.group, 0) > now and (spec.is_load or spec.waits_for_loads)
             warm = WARM_BONUS * (capacity < 1 or query.group in e.warm or (e.entry.engine == home) / 2)
-            holding = (threads + spec.threads - warm) / share
+            far = CROSSING * (e.entry.zone != self.settings.zone)
+            holding = (threads + spec.threads - warm + far) / share
             rank = (clash, e is query.last, (e in sick) - 2 * trial, holding, self.random.random())
             if best is None or rank < best[0]:
                 best = (rank, e)
@@ -208,7 +211,9 @@
         ready = [e for e in self.engines.values() if e.entry.state is EngineState.READY]
         cores = sum(e.cores * self.capacity(e, now) for e in ready if not e.ill)
         self.room = THREADS_PER_CORE * cores / self.settings.gateways
-        self.ring = sorted((e.entry.engine for e in ready), key=crc32)
+        self.ready = len(ready)
+        near = [e for e in ready if e.entry.zone == self.settings.zone] or ready
+        self.ring = sorted((e.entry.engine for e in near), key=crc32)
         start, total = 0.0, sum(self.seen.values())
         for group, count in sorted(self.seen.items()):
             self.arcs[group] = start, count / total
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -167,3 +167,17 @@
     gateway.ask(4, cost=1_000, service_class=1)
     gateway.now += 300_000
     assert [s.query for s in sends(gateway.end(running[0], api.Outcome.OK, work=1_000))] == [4]
+
+
+def test_a_query_stays_in_its_zone_unless_the_other_holds_clearly_less() -> None:
+    """A group's home was any engine of the fleet: two queries in five crossed zones, each at a price."""
+    entries = [api.EngineEntry(engine(n), zone=n % 2) for n in range(6)]
+    gateway = Gateway(settings(extra_free=50.0, zone=1), engines=entries)
+    zones = {entry.engine: entry.zone for entry in entries}
+    for n in range(1, 60):
+        gateway.controller.classes[0].bound = 1e9
+        sent = sends(gateway.ask(n, cost=1_000, group=float(n % 7)))[0]
+        assert zones[sent.engine] == 1
+        gateway.end(sent, api.Outcome.OK, work=1_000)
+    held = [sends(gateway.ask(n, cost=1_000, group=float(n)))[0] for n in range(100, 112)]
+    assert {zones[sent.engine] for sent in held} == {0, 1}
