Open an engine connection again that was reset while new, before calling the engine down

Checked and excluded: load (threads far under room), time-outs (few), broken answers (asked again). At fault: back/pool.py _fail and stream.py Dial (all errors but 'refused' were one), so that decide.py judge took the engine for restarted, and cold for 13 s.

--- a/slipbay/back/http.py
+++ b/slipbay/back/http.py
@@ -38,7 +38,10 @@
         self._cut: Callable[[], None] | None = None
 
     def opened(self) -> None:
-        self.usable()
+        if self.stale():  # reset as soon as it came up: nothing is lost if nothing is written
+            self.abort()
+        else:
+            self.usable()
 
     def call(self, request: bytes, responded: Callable[[http1.Response], None], cut: Callable[[], None],
              due: int = 0) -> None:
--- a/slipbay/feed/journal.py
+++ b/slipbay/feed/journal.py
@@ -80,7 +80,7 @@
     def _connect(self) -> None:
         self._stream = _Tail(self)
         self._dial = self._dialer.dial(
-            self._address, self._stream, CONNECT_US, lambda refused: self._again())
+            self._address, self._stream, CONNECT_US, lambda error: self._again())
         if self._dial is not None:
             self.heard()
 
--- a/slipbay/stream.py
+++ b/slipbay/stream.py
@@ -98,7 +98,7 @@
     """One connection on its way up. Exactly one of connecting, ``failed`` and ``give_up`` ends it."""
 
     def __init__(self, dialer: Dialer, address: Address, stream: Stream, timeout_us: int,
-                 failed: Callable[[bool], None]) -> None:
+                 failed: Callable[[int], None]) -> None:
         self._dialer, self._stream, self._failed = dialer, stream, failed
         self._waiting = True
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
@@ -121,13 +121,13 @@
         error = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error:
             self._sock.close()
-            self._failed(error == errno.ECONNREFUSED)  # only this proves that no process listens
+            self._failed(error)
         else:
             self._dialer.hand_over(self._stream, self._sock)
 
     def _timed_out(self) -> None:
         self.give_up()
-        self._failed(False)
+        self._failed(errno.ETIMEDOUT)
 
     def give_up(self) -> None:
         if self._waiting:
@@ -145,15 +145,15 @@
         self._task = loop.create_task(self._serve())
 
     def dial(self, address: Address, stream: Stream, timeout_us: int,
-             failed: Callable[[bool], None]) -> Dial | None:
-        """Start to connect; ``stream.opened`` or ``failed(refused)`` follows, never within this call.
+             failed: Callable[[int], None]) -> Dial | None:
+        """Start to connect; ``stream.opened`` or ``failed(errno)`` follows, never within this call.
 
-        None, and ``failed(False)`` soon, where the system has no descriptor left.
+        None, and ``failed(EMFILE)`` soon, where the system has no descriptor left.
         """
         try:
             return Dial(self, address, stream, timeout_us, failed)
         except OSError:
-            self.timers.after(0, lambda: failed(False))
+            self.timers.after(0, lambda: failed(errno.EMFILE))
             return None
 
     def hand_over(self, stream: Stream, sock: socket.socket) -> None:
--- a/tests/test_http_exchange.py
+++ b/tests/test_http_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
@@ -125,6 +126,13 @@
         self.dialer.refuse(0)
         self.loop.settle()
 
+    @rule()
+    @precondition(lambda self: self.dialer.waiting)
+    def reset(self) -> None:
+        """A connection is reset while it is new; this says nothing of the query."""
+        self.dialer.refuse(0, errno.ECONNRESET)
+        self.loop.settle()
+
     @rule(index=st.integers(0, 9), how=st.sampled_from(sorted(SPOILT)))
     @precondition(lambda self: any(self.ending(call) for _, call in self.calls))
     def spoil(self, index: int, how: str) -> None:
@@ -227,6 +235,24 @@
     assert model.attempt.ends == [(Outcome.CANCELLED, None)]
 
 
+def test_a_connection_that_is_reset_while_new_does_not_cost_the_attempt() -> None:
+    """Guards against 'no connection' told of engines that are there: they were held to be down, and cold."""
+    model = Exchange()
+    model.reset()
+    model.dialer.accept(0, EndedSocket())  # ended as soon as it came up
+    model.loop.settle()
+    before = model.posts
+    model.connect()
+    assert (before, model.posts) == (0, 1)
+    model.dialer.transports[-1].close()  # before anything of it was read
+    model.loop.settle()
+    assert not model.attempt.ends and len(model.dialer.waiting) == 1
+    model = Exchange()
+    for _ in range(3):
+        model.reset()
+    assert model.attempt.ends == [(Outcome.CONNECT_FAILED, None)]
+
+
 def test_an_answer_that_stops_short_is_asked_for_again_well_within_a_short_deadline() -> None:
     """Guards against waiting for the rest of it while the time of a lookup, under a second, runs out."""
     model = Exchange()
