Ask for lookups beside their POST, and move those that were taken and never run

At fault: back/http.py _call (the check was not set anew for pages) and one patience for all; decide.py, where only a note moves an attempt, and the first comes after 1 s. Now pages are asked for again after 100 ms; a query whose client gave under 3 s is asked for beside its POST after a twelfth of that ('not known' counts only once the POST can't be on its way any more); an attempt that is given up is deleted 100 ms after its POST; an attempt without a note after 4 times its usual time and 75 ms is moved, once.

--- a/martenkeel/decide.py
+++ b/martenkeel/decide.py
@@ -41,6 +41,8 @@
 CROSSING = 1.5  # threads that an engine in our own zone may hold more; a query that crosses has its price
 OVERDUE = 2.0  # an attempt is moved if what is left takes so many times longer than a new start
 OVERDUE_LEAST = 500_000  # us that a move must save at the least
+STUCK = 4.0  # times its usual run time after which an attempt without any note is moved
+STUCK_LEAST = 75_000  # us on top of that, for its way and for chance
 TELL = SECOND // 2  # us between what gateways tell each other of threads held; half of it to collect
 SAMPLE = 2  # engines drawn for a choice by told loads, besides the home
 LEAVE = 4  # ticks before its deadline from which on a query gets no further attempt; half of it: its answer
@@ -274,6 +276,16 @@
         self.threads += query.cls.spec.threads
         e.charges.add(now, query.cls.work)
         self.actions.append(api.Dispatch(query.id, e.entry.engine))
+        if attempt.number == 0 and self.settings.may_cancel and query.cls.spec.effect is Effect.SAFE:
+            slow = STUCK * query.cls.run_time(query.cost) * max(1.0, self.paces.value()) + STUCK_LEAST
+            if now + 2 * slow < query.deadline:
+                self.timer(now + int(slow), lambda at: self.stuck(attempt, at))
+
+    def stuck(self, attempt: Attempt, now: int) -> None:
+        """A query that an engine took and never runs sends no note and no answer; where its kind takes less
+        than the time between notes, only the time tells. Once is enough: it may be a heavy one."""
+        if attempt.number in attempt.query.out and attempt.left == 1.0 and not self.pressed(now):
+            self.move(attempt, now)
 
     def ended(self, query: Query, attempt: Attempt, event: api.AttemptEnded, now: int) -> None:
         cls, e = query.cls, attempt.engine
--- a/slipbay/back/http.py
+++ b/slipbay/back/http.py
@@ -22,6 +22,8 @@
 HOLD_US = 250_000  # an engine holds a call so long before it answers with nothing
 LOST_US = FORGET_US + HOLD_US + 100_000  # after this nothing of a query that we could not ask for runs on
 TRANSIT_US = 100_000  # for a call and its answer on the way, and for the engine's own delays
+PROMPT_US = 60_000  # after so long we ask beside a first call whose client will not wait long
+PROMPT_SHARE = 12  # that is, where this is more than such a part of the time that the client gave
 RETRY_US = 250_000
 PROMPT_RETRIES = 3  # looks that follow a spoilt answer at once; those after them wait
 MOST_RESULT_BYTES, MOST_SHEETS = 64 * 1024, 1000  # a result has 48,000 bytes at most
@@ -87,7 +89,8 @@
         self._path = f"/obj/{attempt.request.name}"
         self._posted = False  # the POST may have arrived whole
         self._answered = False  # the engine has answered some call, so it has the POST
-        self._asked = 0  # when the last call that keeps the query was written
+        self._asked = self._sent = 0  # when the last call that keeps the query, and the POST, were written
+        self._beside = False  # we asked beside the POST, which may still be on its way
         self._main: HttpConnection | None = None  # carries the call whose answer is news of the query
         self._wait: Wait[HttpConnection] | None = None  # for a connection that is to become the main one
         self._delete_wait: Wait[HttpConnection] | None = None
@@ -110,15 +113,17 @@
         if request.grant_mb > 0:
             headers.append(("X-Allot", f"{request.grant_mb:.0f}"))
         assert isinstance(request.work, bytes)
-        self._wait, self._posted = None, True
+        self._wait, self._posted, self._sent = None, True, now
         self._call(connection, http1.request("POST", "/obj", self._pool_host(), headers, request.work))
 
     def _ask(self, connection: HttpConnection) -> None:
         """Ask for the news, or for the next page once the end is known."""
         self._wait = None
-        if self._main is not None:  # it was silent, and this one has come up
-            self._main.abandon(self._asked)
-            self._main.abort()
+        if self._main is not None:  # it is silent, and this one has come up
+            self._beside = not self._answered and self._within_hold
+            self._main.abandon(self._asked + HOLD_US + TRANSIT_US)
+            if not self._beside:
+                self._main.abort()
         number = len(self._pages) if self._sheets else 0
         self._call(connection, http1.request("GET", f"{self._path}/{number}", self._pool_host()))
 
@@ -126,20 +131,31 @@
         self._main, self._asked = connection, self._back.now()
         connection.call(request, lambda response: self._responded(connection, response),
                         self._cut)
-        if self._check is None:
+        if self._check is None or self._sheets:  # pages come at once, long before the check on the news
+            if self._check is not None:
+                self._check.cancel()
             self._check = self._back.timers.at(self._asked + self._patience_us, self._check_on)
 
+    @property
+    def _within_hold(self) -> bool:
+        """Whether an answer to the POST may still come, and the POST still be on its way."""
+        return self._back.now() - self._sent < HOLD_US + TRANSIT_US
+
     @property
     def _patience_us(self) -> int:
-        """After so long without an answer we look on a new connection whether the query or page is there."""
-        return TRANSIT_US if self._sheets else HOLD_US + TRANSIT_US
+        """After so long without an answer we look on another connection for the query or page."""
+        if self._sheets or self._stopping is not None:
+            return TRANSIT_US
+        first = not self._answered and not self._beside
+        wait = max(PROMPT_US, self._attempt.request.expires_in_us // PROMPT_SHARE) if first else HOLD_US
+        return min(wait, HOLD_US) + TRANSIT_US * (wait >= HOLD_US)
 
     def _pool_host(self) -> str:
         return self._pool.host
 
     def _look_again(self) -> None:
         if self._wait is None and not self._over and not self._deleting:
-            self._wait = self._pool.acquire(self._ask, self._unreachable, fresh=True)
+            self._wait = self._pool.acquire(self._ask, self._unreachable, fresh=not self._within_hold)
 
     def _check_on(self) -> None:
         """Guards against answers that stop short or never come: spoilt ones, vanished machines, cut links."""
@@ -150,10 +166,14 @@
             return
         patience = self._patience_us
         if unasked >= patience:
-            self._look_again()
+            if self._stopping is not None:
+                self._delete()
+            else:
+                self._look_again()
         due = self._asked + patience if unasked < patience else min(
             self._back.now() + RETRY_US, self._asked + LOST_US)
-        self._check = self._back.timers.at(due, self._check_on)
+        if self._check is None and not self._over:  # an idle connection was at hand: the call set its own
+            self._check = self._back.timers.at(due, self._check_on)
 
     # News
 
@@ -163,7 +183,11 @@
             connection.abort()
             self._cut()
             return
-        self._main, self._answered = None, True
+        self._main = None
+        if response.status == 500 and not self._answered and self._beside and self._within_hold:
+            connection.done_with(response)  # it may have overtaken the POST; the check asks again
+            return
+        self._answered = True
         if self._wait is not None:  # for another look; there is no need of it any more
             self._wait.cancel()
             self._wait = None
@@ -266,7 +290,11 @@
                 self._main.abort()  # the POST has not left whole, and never will
                 self._main = None
                 self._finish(outcome)
-            # else its first answer comes soon: a DELETE before it might overtake the POST
+            # else its first answer comes soon: a DELETE before it might overtake the POST; the check sends it
+            elif self._check is not None:
+                self._check.cancel()
+                self._check = self._back.timers.at(
+                    max(self._back.now(), self._asked + TRANSIT_US), self._check_on)
         else:
             self._delete()
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -50,6 +50,15 @@
     assert not quiet.ill
 
 
+def test_a_query_that_never_runs_is_moved_before_its_short_time_is_over() -> None:
+    """Three lookups in a hundred were taken and never run: no note comes within their time, nor an answer."""
+    gateway = Gateway(settings(SAFE, UNSAFE, extra_free=50.0), engines=3)
+    gateway.ask(1, cost=20_000, expires=800_000)
+    gateway.ask(2, cost=20_000, expires=800_000, service_class=1)
+    assert not gateway.wait(gateway.now + 150_000)[1:]
+    assert [a for a in gateway.wait(gateway.now + 10_000) if isinstance(a, api.Cancel)] == [api.Cancel(1, 0)]
+
+
 def test_unsafe_queries_stay_on_a_silent_engine() -> None:
     gateway = Gateway(settings(UNSAFE), engines=3)
     gateway.ask(1)
--- a/tests/test_http_exchange.py
+++ b/tests/test_http_exchange.py
@@ -46,11 +46,12 @@
 class Attempt:
     """Stands in for the core's."""
 
-    def __init__(self, loop: FakeLoop, check: Callable[[], None]) -> None:
+    def __init__(self, loop: FakeLoop, check: Callable[[], None], expires_in_us: int = 20_000_000) -> None:
         self.check = check
         self.engine, self.number, self.sent = ENGINE, 0, loop.us
         self.request = SimpleNamespace(name="9b1f03aa5c7e2d41", service_class=0, priority=1, grant_mb=0.0,
-                                       deadline=loop.us + 20_000_000, work=b"SELECT 1", over=False)
+                                       expires_in_us=expires_in_us, deadline=loop.us + expires_in_us,
+                                       work=b"SELECT 1", over=False)
         self.ends: list[tuple[Outcome, Any]] = []
         self.notes = 0
 
@@ -64,6 +65,8 @@
 
 
 class Exchange(RuleBasedStateMachine):
+    expires_in_us = 20_000_000
+
     def __init__(self) -> None:
         super().__init__()
         self.loop = FakeLoop()
@@ -79,7 +82,7 @@
         self.runs_until: int | None = None  # the engine has the query, and drops it then unless it is asked
         self.end = ""  # how it ended, once its end is written
         self.stopped = False
-        self.attempt = Attempt(self.loop, self.an_ended_attempt_does_not_run_on)
+        self.attempt = Attempt(self.loop, self.an_ended_attempt_does_not_run_on, self.expires_in_us)
         exchange = self.back.start(self.attempt)  # type: ignore[arg-type]
         assert exchange is not None
         self.exchange = exchange
@@ -216,8 +219,15 @@
             assert self.attempt.ends or self.dialer.waiting or self.flying, f"nothing came after {before}"
 
 
-TestExchange = Exchange.TestCase
-TestExchange.settings = settings(max_examples=300, stateful_step_count=30, deadline=None, derandomize=True)
+class Hasty(Exchange):
+    """Its client will not wait long, so that it asks beside the POST."""
+
+    expires_in_us = 800_000
+
+
+TestExchange, TestHasty = Exchange.TestCase, Hasty.TestCase
+TestExchange.settings = TestHasty.settings = settings(
+    max_examples=300, stateful_step_count=30, deadline=None, derandomize=True)
 
 
 def test_a_delete_does_not_overtake_the_post() -> None:
@@ -266,6 +276,37 @@
     assert model.attempt.ends == [(Outcome.OK, b"1\n")]
 
 
+def test_a_hasty_client_s_query_is_asked_for_beside_its_post() -> None:
+    """Guards against lookups that are late for an answer that never came: they ended in a tenth of the time.
+    The question may overtake the POST: that it is not known yet tells nothing."""
+    model = Hasty()
+    model.connect()
+    model.loop.advance(70_000)
+    model.connect()
+    (post, _), ask = model.flying
+    model.flying = [ask]
+    model.arrive(0)
+    model.answer(0, "page")
+    assert not post.closing and not model.attempt.ends
+    model.flying = [(post, "POST /obj")]
+    model.arrive(0)
+    model.loop.advance(350_000)
+    model.connect()
+    model.arrive(0)
+    model.answer(1, "page")
+    assert model.attempt.ends == [(Outcome.OK, b"1\n")]
+
+
+def test_a_page_that_does_not_come_is_asked_for_again_soon() -> None:
+    """Guards against pages that wait for the check on the query's news, though they are there at once."""
+    model = Exchange()
+    model.connect()
+    model.arrive(0)
+    model.answer(0, "pages")
+    model.loop.advance(110_000)
+    assert len(model.dialer.waiting) == 1 and not model.attempt.ends
+
+
 def test_a_second_copy_of_an_answer_is_not_taken_for_the_next_one() -> None:
     """Guards against a good answer that is lost, or passed on as another's, for what stands behind it."""
     model = Exchange()
