--- a/martenkeel/decide.py
+++ b/martenkeel/decide.py
@@ -44,6 +44,7 @@
 STUCK = 4.0  # times its usual run time after which an attempt without any note is moved
 STUCK_LEAST = 75_000  # us on top of that, for its way and for chance
 TELL = SECOND // 2  # us between what gateways tell each other of threads held; half of it to collect
+MOST_GROUPS = 512  # that homes are kept for; clients may name any number
 SAMPLE = 2  # engines drawn for a choice by told loads, besides the home
 LEAVE = 4  # ticks before its deadline from which on a query gets no further attempt; half of it: its answer
 
@@ -133,6 +134,7 @@
 
     def reset(self, now: int) -> None:
         """Learn rho (finishing tells of draining only while work is held), step the PI law, predict."""
+        self.tidy(now)
         self.settle(now)
         potential = self.room / THREADS_PER_CORE * CORE_WORK * SECOND / max(1.0, self.paces.value())
         for cls in self.classes:
@@ -209,6 +211,19 @@
         place = int((start + length * self.random.random()) * len(self.ring))
         return self.ring[place % len(self.ring)] if length and self.ring else None
 
+    def tidy(self, now: int) -> None:
+        """Forget what is over, as ids, groups and keys come without end: engines that are gone, with nothing
+        of ours out there or in the cold budget; locks and rests that have run out; groups that are rare."""
+        since = now - self.settings.cold_window_us - WATCH
+        for name, e in list(self.engines.items()):
+            e.locks = {group: until for group, until in e.locks.items() if until > now}
+            if e.entry.state is EngineState.GONE and not e.attempts and not e.charges.since(since):
+                del self.engines[name]
+        self.lines.rests = {key: until for key, until in self.lines.rests.items() if until > now}
+        if len(self.seen) > MOST_GROUPS:
+            self.seen = dict(sorted(self.seen.items(), key=lambda item: -item[1])[:MOST_GROUPS // 2])
+            self.arcs = {}
+
     def settle(self, now: int) -> None:
         ready = [e for e in self.engines.values() if e.entry.state is EngineState.READY]
         cores = sum(e.cores * self.capacity(e, now) for e in ready if not e.ill)
--- a/slipbay/__main__.py
+++ b/slipbay/__main__.py
@@ -100,7 +100,7 @@
 
     def _leave(self) -> None:
         self.server.emptied = self.core.idle = self._maybe_done
-        self.server.leave()
+        self.server.leave(max(spec.deadline_us for spec in self.config.settings.classes))
 
     def _maybe_done(self) -> None:
         if not self.server.connections and not self.core.requests:
--- a/slipbay/back/http.py
+++ b/slipbay/back/http.py
@@ -438,6 +438,9 @@
             self._pools[engine].close_idle()
 
     def _sweep(self) -> None:
-        for pool in self._pools.values():
+        for engine, pool in list(self._pools.items()):
             pool.sweep()
+            if pool.unused:  # names and addresses of engines that are gone would add up for ever
+                pool.close()
+                del self._pools[engine], self._born[engine]
         self.timers.after(1_000_000, self._sweep)
--- a/slipbay/back/pool.py
+++ b/slipbay/back/pool.py
@@ -16,6 +16,7 @@
 SWEEP_US = 1_000_000
 ANSWER_US = 1_000_000  # for calls that engines answer at once
 MOST_DIALS = 3  # for one wait, where connections are reset while they are new
+FORGET_US = 60_000_000  # longer than any request waits: nobody asks then for a pool of an engine that is gone
 KEEP_SHARE = 3  # an idle connection is closed after this part of the time after which engines close it
 
 
@@ -109,7 +110,7 @@
         self._connect_us, self._keep_us = connect_us, idle_us // KEEP_SHARE
         self.idle: deque[C] = deque()
         self._held: set[C] = set()  # connections that count, idle or not
-        self.gone = False
+        self.gone, self._gone_at = False, 0
         sockets.pools.append(self)  # type: ignore[arg-type]
 
     def acquire(self, done: Callable[[C], None], failed: Callable[[Trouble], None],
@@ -188,7 +189,7 @@
 
     def renew(self, address: Address, gone: bool) -> None:
         """A new process stands behind the engine's name, or none: the idle connections are of no use."""
-        self.address, self.gone = address, gone
+        self.address, self.gone, self._gone_at = address, gone, self._now()
         self.close_idle()
 
     def close_idle(self) -> None:
@@ -204,6 +205,14 @@
         while self.idle and self._now() - self.idle[0].idle_since > self._keep_us:
             self.idle.popleft().close()
 
+    @property
+    def unused(self) -> bool:
+        """Whether its engine is gone and nothing of ours is left with it."""
+        return self.gone and not self._held and self._now() - self._gone_at > FORGET_US
+
+    def close(self) -> None:
+        self._sockets.pools.remove(self)  # type: ignore[arg-type]
+
     @property
     def host(self) -> str:
         return f"{self.address[0]}:{self.address[1]}"
--- a/slipbay/feed/journal.py
+++ b/slipbay/feed/journal.py
@@ -18,7 +18,7 @@
           "DELETED": api.EngineState.GONE}
 UNREADABLE = (ConfigError, KeyError, TypeError, ValueError, AttributeError, RecursionError)
 MOST_LINE_BYTES = 4 * 1024 * 1024
-SILENCE_US = 3_000_000  # a line comes each second; after three without one the connection is taken for dead
+SILENCE_US = 2_000_000  # a line comes each second; without one for two the connection is taken for dead
 RETRY_US, CONNECT_US = 200_000, 1_000_000
 
 
@@ -135,7 +135,7 @@
             event = json.loads(line)
             if "hosts" not in event:  # the sign of life of each second
                 if int(event["pos"]) > self.pos:
-                    log("journal", f"event {event['pos']} is out and {self.pos} is the last that came")
+                    self._ask_again(stream, int(event["pos"]))
                 return
             pos, whole, hosts = self._read(event)
         except UNREADABLE as problem:
@@ -144,14 +144,20 @@
         if pos <= self.pos:
             return  # told before the cut
         if pos > self.pos + 1 and not whole and self._asked_after != self.pos:
-            log("journal", f"event {pos} came after {self.pos}; asking for those between, once")
-            self._asked_after = self.pos
-            stream.abort()
+            self._ask_again(stream, pos)
             return
         self.pos = pos
         self._told(api.ListKind.FULL if whole else api.ListKind.DELTA, hosts)
 
 
+    def _ask_again(self, stream: _Tail, pos: int) -> None:
+        """Events were lost on their way, or could not be read: ask for them once."""
+        if self._asked_after != self.pos:
+            log("journal", f"event {pos} is out, {self.pos} is the last that came; asking for those between")
+            self._asked_after = self.pos
+            stream.abort()
+
+
 class _Tail(Stream):
     def __init__(self, journal: Journal) -> None:
         self._journal, self._lines = journal, Lines(MOST_LINE_BYTES)
--- a/slipbay/front/jsonrpc.py
+++ b/slipbay/front/jsonrpc.py
@@ -6,7 +6,7 @@
 
 from slipbay.config import Config
 from slipbay.core.router import Answer, Back, Core, Failed, Refused, Request, Served
-from slipbay.front.server import ClientConnection, Server
+from slipbay.front.server import IDLE_US, ClientConnection, Server
 from slipbay.log import log
 from slipbay.wire import jsonrpc, sql
 from slipbay.wire.lines import Lines, LineTooLong
@@ -40,7 +40,6 @@
         return self._lines.held
 
     def received(self, data: bytes) -> None:
-        self.touch()
         try:
             lines = self._lines.feed(data)
         except LineTooLong:
@@ -54,9 +53,13 @@
     def _take(self, line: bytes) -> None:
         try:
             call = jsonrpc.parse(line)
+            self.touch()
+            self.welcome(IDLE_US)
             if call.method == "cancelRequest":
                 self._cancel(call)
-            elif call.id is not None:
+            elif call.id is None:  # all calls but cancelRequest are for their answers
+                raise jsonrpc.Problem(None, jsonrpc.INVALID_REQUEST, "id is missing")
+            else:
                 self._answer_call(call, call.id)
         except jsonrpc.Problem as problem:
             log("client", problem.text)
--- a/slipbay/front/mysql.py
+++ b/slipbay/front/mysql.py
@@ -232,7 +232,7 @@
             self._last_word(sequence, mysql.ER_ACCESS_DENIED, f"Access denied for user '{self._told.user}'")
             return
         self._tenant, self._take = tenant, self._command
-        self.idle_us = self._front.mysql.idle_us
+        self.welcome(self._front.mysql.idle_us)
         self._packets.most_bytes = self._front.mysql.most_packet_bytes
         self._send([mysql.ok()], sequence + 1)
 
--- a/slipbay/front/server.py
+++ b/slipbay/front/server.py
@@ -10,8 +10,9 @@
 from slipbay.log import log
 from slipbay.stream import Address, Stream
 
-IDLE_US = 30_000_000  # clients close theirs after 4 s; this is for those that forget
-SWEEP_US = 1_000_000
+IDLE_US = 6_000_000  # clients close theirs after 4 s; this is for those that hold on to it for good
+FIRST_US = 2_000_000  # a client that says nothing whole for so long after it came is let go
+SWEEP_US = 500_000
 
 
 class Server:
@@ -38,9 +39,10 @@
         """Those that are listened on, in the order of their start."""
         return [listener.sockets[0].getsockname()[1] for listener in self._listeners]
 
-    def leave(self) -> None:
-        """Take no connections any more, and let go of those that are done."""
+    def leave(self, at_most_us: int) -> None:
+        """Take no connections any more, and let go of those that are done, and in the end of all."""
         self.leaving = True
+        self._timers.after(at_most_us, self._cut_off)
         for listener in self._listeners:
             listener.close()
         self._listeners.clear()
@@ -49,11 +51,17 @@
         if not self.connections:
             self.emptied()
 
+    def _cut_off(self) -> None:
+        """Guards against readers so slow that their last answer would keep the process from its end."""
+        for connection in list(self.connections):
+            connection.abort()
+
     def joined(self, connection: ClientConnection) -> None:
         self.connections.add(connection)
         if len(self.connections) > self._limits.client_sockets:
-            idle = [c for c in self.connections if not c.busy and c is not connection]
-            victim = min(idle, key=lambda c: c.touched) if idle else connection
+            idle = [c for c in self.connections if not (c.busy or c.closing or c is connection)]
+            # Those that open connections and say nothing must not push out those that ask.
+            victim = min(idle, key=lambda c: (c.spoke, c.touched)) if idle else connection
             log("client", "too many connections; one is closed")
             victim.close()
 
@@ -87,7 +95,8 @@
 class ClientConnection(Stream):
     """A client's connection; fronts add their wire to it."""
 
-    idle_us = IDLE_US
+    idle_us = FIRST_US  # until it has said something whole
+    spoke = False
 
     def __init__(self, server: Server) -> None:
         self.server = server
@@ -104,8 +113,13 @@
         raise NotImplementedError
 
     def touch(self) -> None:
+        """A whole message came, or a request was answered."""
         self.touched = self.server.now()
 
+    def welcome(self, idle_us: int) -> None:
+        """It has said something that makes it a client; from now on it may be idle for longer."""
+        self.spoke, self.idle_us = True, idle_us
+
     def opened(self) -> None:
         self.server.joined(self)
 
--- a/slipbay/stream.py
+++ b/slipbay/stream.py
@@ -57,6 +57,10 @@
         if self.transport is not None and not self.lost and not self.transport.is_closing():
             self.transport.write(data)
 
+    @property
+    def closing(self) -> bool:
+        return self.transport is None or self.transport.is_closing()
+
     @property
     def unsent(self) -> int:
         """Bytes that have not yet been handed to the system."""
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -201,7 +201,7 @@
     async def __aexit__(self, *exception: object) -> None:
         for server in [self.journal.server, *(engine.server for engine in self.engines)]:
             server.close()
-        self.router.server.leave()
+        self.router.server.leave(0)
 
     def port(self, number: int = 0) -> int:
         """Where the router listens: JSON-RPC first, then MySQL."""
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -30,6 +30,20 @@
     run(test)
 
 
+def test_an_event_that_broke_on_its_way_is_asked_for_at_the_next_sign_of_life() -> None:
+    """Guards against a list that lacks a drain until some later event shows the gap."""
+    async def test() -> None:
+        async with Loopback(StandInEngine()) as net:
+            await until(lambda: bool(net.journal.writers))
+            net.journal.writers[0].write(b'{"pos":2,"hosts":{"se\n{"pos":2}\n')
+            await until(lambda: len(net.journal.asked) == 2)
+            assert net.journal.asked[-1] == b"tail 1\n"
+            net.journal.tell(event(2, host("s-2", 2)))
+            await until(lambda: net.router.journal.pos == 2)
+
+    run(test)
+
+
 def test_a_journal_that_is_not_there_yet_is_tried_again() -> None:
     async def test() -> None:
         async with Loopback(StandInEngine()) as net:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -252,3 +252,18 @@
     first = sends(gateway.ask(1))[0]
     gateway.end(first, api.Outcome.OK)
     assert gateway.tell(api.QueryGone(1)) == []
+
+
+def test_nothing_is_kept_of_engines_and_groups_that_have_passed() -> None:
+    """Over a long day engines are replaced by others with new ids, and clients name any group."""
+    gateway = Gateway(settings(extra_free=50.0), engines=2)
+    for n in range(1, 400):
+        new = api.EngineEntry(n.to_bytes(6, "big"))
+        gateway.tell(api.EngineList(api.ListKind.DELTA, (new,)))
+        for query in (2 * n, 2 * n + 1):
+            run(gateway, sends(gateway.ask(query, cost=1_000, group=float(query)))[0], lambda e: False)
+        gateway.tell(api.EngineList(api.ListKind.DELTA, (replace(new, state=api.EngineState.GONE),)))
+        gateway.wait(gateway.now + SECOND)
+    controller = gateway.controller
+    assert len(controller.engines) < 10 and len(controller.seen) <= 513 and len(controller.arcs) <= 513
+    assert not controller.queries and len(controller.timers) < 50
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -7,6 +7,7 @@
 import contextlib
 import socket
 import time
+from types import SimpleNamespace
 
 import pytest
 from fakes import FakeLoop, FakeTransport
@@ -14,6 +15,8 @@
 
 from martenkeel import interface as api
 from slipbay.config import Limits
+from slipbay.front.jsonrpc import JsonRpcConnection, JsonRpcFront
+from slipbay.front.server import Server
 from slipbay.stream import Stream
 
 SQL = "SELECT * FROM sales_17.orders"
@@ -115,6 +118,7 @@
 @pytest.mark.parametrize("line, code, id", [
     (b"{", -32700, None), (b"[1]", -32600, None), (b"7", -32600, None), (b'{"id":0}', -32600, None),
     (b'{"id":true,"jsonrpc":"2.0","method":"alive"}', -32600, None),
+    (b'{"jsonrpc":"2.0","method":"lookup","params":{}}', -32600, None),
     (b'{"id":7}', -32600, 7), (b'{"jsonrpc":"2.0","id":7,"method":"dance"}', -32601, 7),
     (b'{"jsonrpc":"2.0","id":7,"method":"lookup","params":[]}', -32602, 7),
     (b'{"jsonrpc":"2.0","id":7,"method":"lookup","params":{"txn":"x","limit":9,"data":""}}', -32602, 7),
@@ -256,6 +260,35 @@
     ours.close()
 
 
+def test_clients_that_say_nothing_are_let_go_and_do_not_push_out_others() -> None:
+    """Guards against silent connections by the hundred that take the descriptors of those that ask."""
+    loop = FakeLoop()
+    server = Server(loop.timers, Limits(1.0, 192, 64), loop.now)  # 25 connections of clients
+    front = JsonRpcFront(SimpleNamespace(classes=(), tenants=()), None, None, lambda: True)  # type: ignore[arg-type]
+
+    def connect() -> tuple[JsonRpcConnection, FakeTransport]:
+        connection = JsonRpcConnection(server, front)
+        transport = FakeTransport(loop, connection, lambda transport, data: None)
+        connection.connection_made(transport)
+        return connection, transport
+
+    asked, asking = connect()
+    asked.received(b'{"jsonrpc":"2.0","id":1,"method":"alive"}\n')
+    silent = []
+    for _ in range(100):
+        loop.advance(10_000)
+        silent.append(connect()[1])
+    dripping, transport = connect()
+    assert not asking.closing and sum(not one.closing for one in silent) == 23
+    for _ in range(5):
+        loop.advance(500_000)
+        if not transport.closing:
+            dripping.received(b"x")
+    assert transport.closing and all(one.closing for one in silent) and not asking.closing
+    loop.advance(5_000_000)
+    assert asking.closing  # it holds on to its connection for good
+
+
 def test_memory_that_clients_hold_is_bounded() -> None:
     """The one that holds most goes first, be it a slow reader or a sender of half a line."""
     async def test() -> None:
