Refuse nothing for the first query's rate; look again at stuck attempts and pages sooner

Checked and excluded: our CPU (0.16 of a second at most), engines ill or unfit (none), the ration (not used up). At fault: decide.py arrive (rho seeded by a light first query binds until the first resets), stuck (one look); back/http.py _patience_us (100 ms for a page), stop (counted from the last call, not from the POST).

--- a/martenkeel/decide.py
+++ b/martenkeel/decide.py
@@ -20,6 +20,7 @@
 K_P, K_I = 4.93, 5.36  # the paper's PI gains
 PLANT_GAIN = 0.0142  # s of delay per unit of backlog at rest by the paper's Eq. 10; its units to ours
 AIM_SHARE = 0.7  # part of the aim that the mean delay is steered to; at 1 half the answers would be late
+LEARNING = 3 * SECOND  # us from the start until a rate has been learned; three resets
 QUEUE_LIMIT = 64  # queries; max-data is this times the largest cost
 LEARN = 0.2  # weight of a new sample in running means of errors and rates; about five samples of memory
 FADE = 0.03  # loss of old samples at each new one in ratios of cost, work and time; some thirty samples
@@ -112,8 +113,7 @@
         if not cls.rate:  # DESIGN: rho starts at aim over first told cost divided by ready engines
             cls.rate = query.cost * max(1, self.ready) / cls.aim(query.cost) * SECOND
             self.predict(cls, now)
-        alone = len(cls.present) == 1 and not self.pressed(now)  # its class's share has added up meanwhile
-        if query.cost + cls.queued > cls.bound and not alone:
+        if query.cost + cls.queued > cls.bound and not self.idle(cls, now):
             return self.answer(query, now)
         cls.hold(query)
         if query.key:
@@ -122,6 +122,13 @@
         else:
             cls.queue.append(query)
 
+    def idle(self, cls: ClassState, now: int) -> bool:
+        """Whether the bound says nothing: the class has nothing here, so that its share has added up, or the
+        rate is still that of the first query, which a light one sets far too low, and threads are free."""
+        free = self.threads + cls.spec.threads <= self.room and not any(c.queue for c in self.classes)
+        early = now - self.started < LEARNING and free
+        return not self.pressed(now) and (early or len(cls.present) == 1)
+
     def predict(self, cls: ClassState, now: int) -> None:
         """Eq. 8 of the paper plus b_delta. Exceptions: work on engines judged ill and work that notes tell is
         done leave the running sum; t1, tN are those of held queries, as a long query alone is no backlog."""
@@ -299,7 +306,11 @@
     def stuck(self, attempt: Attempt, now: int) -> None:
         """A query that an engine took and never runs sends no note and no answer; where its kind takes less
         than the time between notes, only the time tells. Once is enough: it may be a heavy one."""
-        if attempt.number in attempt.query.out and attempt.left == 1.0 and not self.pressed(now):
+        if attempt.number not in attempt.query.out or attempt.left < 1.0:
+            return
+        if self.pressed(now):  # all take long; this one may have its turn yet
+            self.timer(2 * now - attempt.sent, lambda at: self.stuck(attempt, at))
+        else:
             self.move(attempt, now)
 
     def ended(self, query: Query, attempt: Attempt, event: api.AttemptEnded, now: int) -> None:
--- a/slipbay/back/http.py
+++ b/slipbay/back/http.py
@@ -22,6 +22,7 @@
 HOLD_US = 250_000  # an engine holds a call so long before it answers with nothing
 LOST_US = FORGET_US + HOLD_US + 100_000  # after this nothing of a query that we could not ask for runs on
 TRANSIT_US = 100_000  # for a call and its answer on the way, and for the engine's own delays
+PAGE_US = 40_000  # the same for a page, which is there at once and of which a client waits for many
 PROMPT_US = 60_000  # after so long we ask beside a first call whose client will not wait long
 PROMPT_SHARE = 12  # that is, where this is more than such a part of the time that the client gave
 RETRY_US = 250_000
@@ -144,8 +145,8 @@
     @property
     def _patience_us(self) -> int:
         """After so long without an answer we look on another connection for the query or page."""
-        if self._sheets or self._stopping is not None:
-            return TRANSIT_US
+        if self._sheets:
+            return PAGE_US
         first = not self._answered and not self._beside
         wait = max(PROMPT_US, self._attempt.request.expires_in_us // PROMPT_SHARE) if first else HOLD_US
         return min(wait, HOLD_US) + TRANSIT_US * (wait >= HOLD_US)
@@ -165,11 +166,8 @@
             self._finish(self._stopping or Outcome.RESET)
             return
         patience = self._patience_us
-        if unasked >= patience:
-            if self._stopping is not None:
-                self._delete()
-            else:
-                self._look_again()
+        if unasked >= patience and self._stopping is None:
+            self._look_again()
         due = self._asked + patience if unasked < patience else min(
             self._back.now() + RETRY_US, self._asked + LOST_US)
         if self._check is None and not self._over:  # an idle connection was at hand: the call set its own
@@ -290,11 +288,8 @@
                 self._main.abort()  # the POST has not left whole, and never will
                 self._main = None
                 self._finish(outcome)
-            # else its first answer comes soon: a DELETE before it might overtake the POST; the check sends it
-            elif self._check is not None:
-                self._check.cancel()
-                self._check = self._back.timers.at(
-                    max(self._back.now(), self._asked + TRANSIT_US), self._check_on)
+            else:  # its first answer comes soon: a DELETE before it might overtake the POST
+                self._back.timers.at(self._sent + TRANSIT_US, self._delete)
         else:
             self._delete()
 
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -29,6 +29,7 @@
 def test_query_that_does_not_fit_is_refused_at_once_and_a_light_one_is_not() -> None:
     gateway = Gateway(settings(), engines=4)
     gateway.ask(1, cost=100_000)
+    gateway.now += 4 * SECOND
     assert finals(gateway.ask(2, cost=600_001)) == [api.Refuse(2, SECOND // 2)]
     assert len(sends(gateway.ask(3, cost=500_000))) == 1
 
@@ -181,3 +182,13 @@
         gateway.end(sent, api.Outcome.OK, work=1_000)
     held = [sends(gateway.ask(n, cost=1_000, group=float(n)))[0] for n in range(100, 112)]
     assert {zones[sent.engine] for sent in held} == {0, 1}
+
+
+def test_a_light_first_query_does_not_have_the_others_refused_before_a_rate_is_learned() -> None:
+    """In the first second after each start one query in thirty was refused, with nothing held anywhere."""
+    gateway = Gateway(settings(), engines=4)
+    gateway.ask(1, cost=1_000)
+    assert gateway.controller.classes[0].bound < 100_000
+    assert len(sends(gateway.ask(2, cost=100_000))) == 1
+    gateway.controller.pressure_until = gateway.now + 1
+    assert finals(gateway.ask(3, cost=100_000)) == [api.Refuse(3, SECOND // 2)]
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -267,3 +267,12 @@
     controller = gateway.controller
     assert len(controller.engines) < 10 and len(controller.seen) <= 513 and len(controller.arcs) <= 513
     assert not controller.queries and len(controller.timers) < 50
+
+
+def test_a_stuck_query_is_looked_at_again_once_pressure_has_passed() -> None:
+    """One sign of pressure, at the moment of the only look, left it where it was until its time was over."""
+    gateway = Gateway(settings(extra_free=50.0), engines=3)
+    gateway.ask(1, cost=20_000, expires=800_000)
+    gateway.controller.pressure_until = gateway.now + 200_000
+    assert not [a for a in gateway.wait(gateway.now + 300_000) if isinstance(a, api.Cancel)]
+    assert [a for a in gateway.wait(gateway.now + 20_000) if isinstance(a, api.Cancel)] == [api.Cancel(1, 0)]
