Spread the loads of a group for as long as others hold it or wait for it

Checked and excluded: spoilt answers (few of them), our CPU, engines ill or unfit (none), pressure. At fault: decide.py noted: the word that a load waits replaced the lock of our own loads, known until they end, by one of two note periods, and later notes with nothing done did not renew it; pick told only locked from free. Now the longer of the two stands, notes with nothing done renew it, and of locked engines the one with the fewest of our loads on the group is taken. Conclusion: what loads still wait for is what other routers have sent, of which nobody tells.

--- a/martenkeel/decide.py
+++ b/martenkeel/decide.py
@@ -202,7 +202,8 @@
             room = THREADS_PER_CORE * e.cores * share / (1 if told else self.settings.gateways)
             if pressed and threads >= room and not (told and query.cls is self.first()):
                 continue
-            clash = e.locks.get(query.group, 0) > now and (spec.is_load or spec.waits_for_loads)
+            locked = e.locks.get(query.group, 0) > now and (spec.is_load or spec.waits_for_loads)
+            clash = max(1, e.loads(query.group)) if locked else 0  # the shortest line where all have one
             warm = WARM_BONUS * (capacity < 1 or query.group in e.warm or (e.entry.engine == home) / 2)
             far = CROSSING * (e.entry.zone != self.settings.zone)
             holding = (threads + spec.threads - warm + far) / share
@@ -361,8 +362,9 @@
             attempt.left = max(0.0, 1 - event.value)
             left = (now - attempt.sent) * attempt.left / event.value
         elif event.kind is api.NoteKind.WAITS and event.value == api.WAITS_FOR_LOAD:
-            e.locks[query.group] = now + 2 * self.settings.progress_us  # until two notes fail to say so
             attempt.waited, left = True, query.deadline - now  # nothing is lost by a new start
+        if attempt.waited and attempt.left == 1.0:  # until two notes fail to come, or a load of ours ends
+            e.locks[query.group] = max(e.locks.get(query.group, 0), now + 2 * self.settings.progress_us)
         if left > OVERDUE * fresh + OVERDUE_LEAST and query.deadline - now > fresh:
             self.move(attempt, now)
 
--- a/martenkeel/state.py
+++ b/martenkeel/state.py
@@ -86,14 +86,17 @@
         query = attempt.query
         del self.attempts[query.id, attempt.number]
         self.threads -= query.cls.spec.threads
-        if query.cls.spec.is_load and not any(
-                a.query.group == query.group and a.query.cls.spec.is_load for a in self.attempts.values()):
+        if query.cls.spec.is_load and not self.loads(query.group):
             self.locks.pop(query.group, None)
 
     def unfit(self, cls: ClassState, now: int) -> bool:
         """Whether it errs on queries of the class, though it may run others well."""
         return cls in self.faults and now < self.faults[cls][1]
 
+    def loads(self, group: float) -> int:
+        """Loads of ours here that hold the group or wait for it."""
+        return sum(a.query.cls.spec.is_load and a.query.group == group for a in self.attempts.values())
+
     def leave(self) -> None:
         self.entry = replace(self.entry, state=api.EngineState.GONE)
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -276,3 +276,23 @@
     gateway.controller.pressure_until = gateway.now + 200_000
     assert not [a for a in gateway.wait(gateway.now + 300_000) if isinstance(a, api.Cancel)]
     assert [a for a in gateway.wait(gateway.now + 20_000) if isinstance(a, api.Cancel)] == [api.Cancel(1, 0)]
+
+
+def test_loads_of_a_group_are_spread_for_as_long_as_they_wait() -> None:
+    """The first word that a load waits made us forget, a second later, those of ours that held its group: new
+    loads joined the line of one engine while others had none."""
+    load = replace(UNSAFE, is_load=True, deadline_us=25 * SECOND)
+    gateway = Gateway(settings(load), engines=3)
+    gateway.ask(1, group=6.0, expires=25 * SECOND)
+    gateway.controller.classes[0].bound = 1e9
+    held = [sends(gateway.ask(n, group=6.0, expires=25 * SECOND))[0] for n in range(2, 7)]
+    engines = gateway.controller.engines
+    assert sorted(e.loads(6.0) for e in engines.values()) == [2, 2, 2]
+    held[0:0] = [api.Dispatch(1, gateway.controller.queries[1].out[0].engine.entry.engine)]
+    for sent in held:
+        gateway.tell(api.AttemptNote(sent.query, 0, sent.engine, api.NoteKind.WAITS, api.WAITS_FOR_LOAD))
+    for sent in held:
+        if sent.engine != held[0].engine:
+            gateway.end(sent, api.Outcome.OK, work=100_000)
+    gateway.now += 5 * SECOND
+    assert sends(gateway.ask(9, group=6.0, expires=25 * SECOND))[0].engine != held[0].engine
