Turn away requests under the txn of another one

Excluded by reading: other paths to 'served' need a good answer to the POST itself. At fault: front/jsonrpc.py took any txn; a DELETE for such a request would also have ended the usual client's query. Now a txn that was used lately (the last 8,192 are remembered) is an error, in either case of its letters.

--- a/slipbay/front/jsonrpc.py
+++ b/slipbay/front/jsonrpc.py
@@ -13,6 +13,7 @@
 
 MOST_LINE_BYTES = 128 * 1024
 MOST_OPEN = 32  # requests on a connection
+MOST_TXNS = 8192  # that are remembered; some 15 s of the busiest router's, a minute of the others'
 
 
 class JsonRpcFront:
@@ -22,6 +23,18 @@
         self.core, self.back, self.well = core, back, well
         self.classes = {name: number for number, name in enumerate(config.classes)}
         self.tenants = {name: number for number, name in enumerate(config.tenants)}
+        self._used: dict[str, None] = {}  # the last txns, oldest first
+
+    def use(self, txn: str) -> bool:
+        """Whether a txn is new. Engines know queries by it alone: under one that is in use a client would be
+        given the answer to another's statement, and giving its own request up would end the other's."""
+        key = txn.lower()
+        if key in self._used:
+            return False
+        self._used[key] = None
+        if len(self._used) > MOST_TXNS:
+            del self._used[next(iter(self._used))]
+        return True
 
 
 class JsonRpcConnection(ClientConnection):
@@ -93,6 +106,8 @@
             if params.team not in self._front.tenants:
                 raise jsonrpc.Problem(id, jsonrpc.INVALID_PARAMS, "team is not known here")
             tenant = self._front.tenants[params.team]
+        if not self._front.use(params.txn):
+            raise jsonrpc.Problem(id, jsonrpc.INVALID_PARAMS, "txn has been used")
         request = Request(
             params.txn, self._front.classes[call.method], params.limit_us, params.statement, self,
             self._front.back, params.cost_us, params.memory_mb,
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -17,6 +17,7 @@
 
 HOST = "127.0.0.1"
 TXN = "9b1f03aa5c7e2d41"
+_txns = 0  # of requests so far: each has its own
 SETTINGS: dict[str, Any] = {
     "balancers": 1, "me": 0, "zone": 0, "dcs": ["room-a"], "kinds": ["std-8"], "tickUs": 5000,
     "familyInfo": {"threadsByClass": [1, 2, 2], "isLoad": [False, False, True], "cpuOfKind": [8],
@@ -158,7 +159,10 @@
         self.writer.write(line + b"\n")
 
     def query(self, method: str = "lookup", sql: str = "SELECT 1", limit: int = 2000, **params: Any) -> int:
-        return self.send(method, **{"txn": TXN, "limit": limit, "cpu": 80.0,
+        global _txns
+        _txns += 1
+        self.txn = f"{_txns:016x}"
+        return self.send(method, **{"txn": self.txn, "limit": limit, "cpu": 80.0,
                                     "data": base64.b64encode(sql.encode()).decode(), **params})
 
     async def answer(self) -> dict[str, Any]:
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -93,7 +93,7 @@
     def send(self, ahead: int, cut: int, bad: bool) -> None:
         id = max(1, self.last_id + ahead)
         message = {"jsonrpc": "2.0", "id": id, "method": "lookup", "params": {
-            "txn": TXN, "limit": -1 if bad else 100, "data": base64.b64encode(b"SELECT 1").decode()}}
+            "txn": f"{id:016x}", "limit": -1 if bad else 100, "data": base64.b64encode(b"SELECT 1").decode()}}
         before, open_before = len(self.sent), len(self.open)
         if self.transport.closing:
             return
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -33,7 +33,7 @@
         engine = StandInEngine(script)
         async with Loopback(engine) as net:
             client = await net.client()
-            id = client.query("report", SQL, ram=96)
+            id = client.query("report", SQL, ram=96, txn=TXN)
             answer = await client.answer()
             assert answer["id"] == id and base64.b64decode(answer["result"]["data"]) == b"".join(pages)
             post, *rest = engine.calls
@@ -92,7 +92,7 @@
             client = await net.client()
             client.cancel(client.query())  # at once: it may not have been sent yet
             client.query()
-            client.cancel(TXN)
+            client.cancel(client.txn)
             id = client.query()
             await posted.wait()
             client.cancel(id)
@@ -160,6 +160,22 @@
     run(test)
 
 
+def test_the_txn_of_another_request_is_not_taken() -> None:
+    """Guards against 'served' with the answer to another's statement: where the POST's own answer is lost,
+    the question for its news names the query by its txn alone."""
+    async def test() -> None:
+        engine = StandInEngine()
+        async with Loopback(engine) as net:
+            client, other = await net.client(), await net.client()
+            client.query(txn=TXN)
+            assert "result" in await client.answer()
+            other.query(sql="SELECT 2", txn=TXN.upper())
+            assert (await other.answer())["error"]["code"] == -32602
+            assert len(engine.calls) == 1
+
+    run(test)
+
+
 def test_the_list_is_followed_across_a_cut_of_the_journal() -> None:
     async def test() -> None:
         old, new = StandInEngine(), StandInEngine()
