Add an embedded store: framed segments, group commit, compaction, repair at each byte

Need: all that a router knows dies with it. What must survive wants a place on the disk that is right after any cut. This is the engine alone; the router does not use it yet.

Change: slipbay/store. Frames with CRC32C and sequence, a manifest switched by rename, compaction into zstd blocks from the oldest segment on, a writer thread that groups commits and answers by callback in order. Nothing is changed in place; after a failed write or sync a new segment is begun, or the store is read-only until it heals. Libraries stand in the extra slipbay[store].

--- /dev/null
+++ b/slipbay/store/__init__.py
@@ -0,0 +1,5 @@
+"""A small embedded store: append-only segments, an index in memory, group commit, compaction.
+
+``frame``, ``manifest`` and ``plan`` hold its rules and do no I/O; ``disk`` reaches files; ``engine`` joins
+them into one store for one thread; ``writer`` runs that store in a thread of its own, beside an event loop.
+"""
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,526 @@
+"""The store: cut at every byte of a history, driven by random histories with faults, and its parts alone."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+import shutil
+import stat
+import subprocess
+import sys
+import threading
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from sim_disk import SimDisk, cuts, image
+
+from slipbay.store import frame, manifest, plan
+from slipbay.store.disk import Folder, InUse
+from slipbay.store.engine import CannotWrite, Change, Full, State, Store
+from slipbay.store.frame import Damaged, NewerFormat, StoreError
+from slipbay.store.inspect import survey
+from slipbay.store.writer import Grouping, Writer
+
+SMALL = plan.Bounds(segment_bytes=400, most_bytes=100_000)
+Model = dict[bytes, bytes]
+
+
+class History:
+    """A store on a simulated disk, with the state after each change and what was told as done by when."""
+
+    def __init__(self, bounds: plan.Bounds = SMALL) -> None:
+        self.disk = SimDisk()
+        self.store = Store.open(self.disk, bounds)
+        self.states: list[Model] = [{}]  # by sequence
+        self.done: list[tuple[int, int]] = [(0, 0)]  # operations on the disk, sequence told as done by then
+        self.begun: list[tuple[int, int]] = [(0, 0)]  # operations before a commit, sequence it goes up to
+
+    def commit(self, *changes: Change) -> None:
+        for key, value in changes:
+            state = dict(self.states[-1])
+            if value is None:
+                state.pop(key, None)
+            else:
+                state[key] = value
+            self.states.append(state)
+        self.begun.append((len(self.disk.ops), len(self.states) - 1))
+        self.store.commit(list(changes))
+        self.done.append((len(self.disk.ops), len(self.states) - 1))
+
+    def promised(self, operations: int) -> int:
+        """The last sequence that was told as done before so many operations on the disk were over."""
+        return max(sequence for at, sequence in self.done if at <= operations)
+
+    def possible(self, operations: int) -> int:
+        return max(sequence for at, sequence in self.begun if at <= operations)
+
+
+def scripted() -> History:
+    """Commits alone and in groups, overwrites, deletions, rotations, compactions among further commits."""
+    history, random = History(), Random(7)
+    for number in range(60):
+        key = b"k%d" % random.randrange(9)
+        value = None if random.random() < 0.2 else b"%d" % number * random.randrange(1, 9)
+        if number % 7 == 0:
+            history.commit((key, value), (b"group", b"%d" % number), (b"gone", None))
+        else:
+            history.commit((key, value))
+        if number in (25, 50):
+            history.store.compact_step(force=True)
+        elif number > 25:
+            history.store.compact_step()
+    while history.store.compact_step():
+        pass
+    history.commit((b"last", b"1"))
+    return history
+
+
+def contents(store: Store) -> Model:
+    return dict(store.items())
+
+
+def test_cut_at_every_byte_no_promise_is_broken_and_nothing_is_invented() -> None:
+    """P1 to P5 for every moment of a history with compaction, under each fate of what was not synced."""
+    history, random, count = scripted(), Random(3), 0
+    assert history.store.totals.compactions >= 2
+    for number, size in cuts(history.disk.ops):
+        least, most = history.promised(number), history.possible(number)
+        for keep in ("all", "none", "any"):
+            found = Store.open(image(history.disk.ops, number, size, keep, random), SMALL)
+            state = contents(found)
+            assert least <= found.sequence <= most, (number, size, keep)
+            assert state == history.states[found.sequence], (number, size, keep)
+            count += 1
+            if count % 50 == 0:  # opened twice it is the same, and it can be written on
+                disk, sequence = found._disk, found.sequence
+                found.close()
+                again = Store.open(disk, SMALL)
+                assert contents(again) == state and again.sequence == sequence
+                again.commit([(b"after", b"1")])
+                assert contents(again) == {**state, b"after": b"1"}
+    print(f"{count} cuts")
+    assert count > 10_000
+
+
+def test_cut_again_while_the_repair_runs() -> None:
+    history, random = scripted(), Random(5)
+    moments = list(cuts(history.disk.ops))
+    for number, size in random.sample(moments, 60):
+        first = image(history.disk.ops, number, size, "any", random)
+        before = {name: bytes(file.data) for name, file in first.files.items()}
+        Store.open(first, SMALL)
+        for at, part in cuts(first.ops):
+            second = SimDisk()
+            prefix = [op for name, data in before.items()
+                      for op in (("create", name, b""), ("append", name, data), ("sync", name, b""))]
+            ops = [*prefix, ("sync_folder", "", b""), *first.ops]
+            second = image(ops, at + len(prefix) + 1, part, "any", random)
+            found = Store.open(second, SMALL)
+            assert history.promised(number) <= found.sequence <= history.possible(number)
+            assert contents(found) == history.states[found.sequence]
+
+
+def test_real_files_cut_at_every_byte(tmp_path: Path) -> None:
+    """The last segment of a real folder, cut by the ordinary opening at each byte."""
+    store = Store.open(Folder(tmp_path / "whole"), SMALL)
+    ends = [store.used_bytes]
+    for number in range(12):
+        store.commit([(b"k%d" % (number % 5), b"v%d" % number)])
+        if number == 5:
+            assert store.compact_step(force=True) or True
+        ends.append(store.used_bytes)
+    last = store.segments[-1]
+    before = sum(segment.end for segment in store.segments[:-1])
+    store.close()
+    data = (tmp_path / "whole" / last.name).read_bytes()
+    for size in range(frame.HEAD_BYTES, len(data) + 1):
+        folder = tmp_path / "cut"
+        shutil.copytree(tmp_path / "whole", folder)
+        (folder / last.name).write_bytes(data[:size])
+        found = Store.open(Folder(folder), SMALL)
+        commits = sum(end <= before + size for end in ends) - 1
+        assert contents(found) == {b"k%d" % (n % 5): b"v%d" % n for n in range(commits)}
+        found.close()
+        shutil.rmtree(folder)
+
+
+KEYS, VALUES = st.sampled_from([b"a", b"b", b"c", b"d"]), st.binary(max_size=80)
+STEPS = st.lists(st.one_of(
+    st.tuples(st.just("commit"), st.lists(st.tuples(KEYS, st.none() | VALUES), min_size=1, max_size=4)),
+    st.tuples(st.just("compact"), st.booleans()),
+    st.tuples(st.just("crash"), st.sampled_from(["all", "none", "any"])),
+    st.tuples(st.just("fault"), st.tuples(
+        st.sampled_from(["append", "sync", "create", "rename", "sync_folder"]),
+        st.integers(0, 3), st.sampled_from([errno.ENOSPC, errno.EIO]))),
+    st.tuples(st.just("heal"), st.none())), max_size=30)
+
+
+def fail_after(what: str, calls: int, code: int) -> Callable[[str, str, int], int]:
+    """The call after so many of a kind fails; an append fails in its middle."""
+    left = [calls]
+
+    def fault(called: str, name: str, size: int) -> int:
+        if called == what:
+            left[0] -= 1
+            if left[0] == -1:
+                if what == "append" and code == errno.ENOSPC:
+                    return size // 2
+                raise OSError(code, os.strerror(code))
+        return size
+
+    return fault
+
+
+@settings(max_examples=400, deadline=None, derandomize=True)
+@given(STEPS, st.integers(0, 2**32))
+def test_random_histories_agree_with_a_model(steps: list[tuple[str, object]], seed: int) -> None:
+    disk, random = SimDisk(), Random(seed)
+    store, model = Store.open(disk, SMALL), Model()
+    maybe: list[Model] = []  # states that a failed commit may still turn out to have made, after a crash
+    for what, how in steps:
+        if what == "commit":
+            assert isinstance(how, list)
+            after = dict(model)
+            for key, value in how:
+                after.pop(key, None) if value is None else after.update({key: value})
+            try:
+                store.commit(how)
+                model, maybe = after, []
+            except CannotWrite:
+                for count in range(1, len(how) + 1):
+                    state = dict(model)
+                    for key, value in how[:count]:
+                        state.pop(key, None) if value is None else state.update({key: value})
+                    maybe.append(state)
+        elif what == "compact":
+            try:
+                store.compact_step(force=bool(how))
+            except CannotWrite:
+                pass
+        elif what == "fault":
+            assert isinstance(how, tuple)
+            disk.faults = fail_after(*how)
+        elif what == "heal":
+            disk.faults = lambda what, name, size: size
+            if store.state is State.READ_ONLY:
+                assert store.heal()
+        else:
+            disk = crashed(disk, str(how), random)
+            store = Store.open(disk, SMALL)
+            assert contents(store) in [model, *maybe]
+            model, maybe = contents(store), []
+        assert contents(store) == model
+        assert store.live_bytes == sum(
+            frame.FRAME_BYTES + len(key) + len(value) for key, value in model.items())
+
+
+def crashed(disk: SimDisk, keep: str, random: Random) -> SimDisk:
+    """A crash now; the new disk remembers its start as synced operations."""
+    found = image(disk.ops, len(disk.ops), 0, keep, random)
+    files = {name: bytes(file.data) for name, file in found.files.items()}
+    found.ops = [op for name, data in files.items()
+                 for op in (("create", name, b""), ("append", name, data), ("sync", name, b""))]
+    found.ops.append(("sync_folder", "", b""))
+    return found
+
+
+def test_after_a_failed_sync_nothing_is_told_as_done_on_that_segment() -> None:
+    disk = SimDisk()
+    store = Store.open(disk)
+    store.commit([(b"a", b"1")])
+    old = store.segments[-1].name
+    disk.faults = fail_after("sync", 0, errno.EIO)
+    with pytest.raises(CannotWrite, match="Input/output error"):
+        store.commit([(b"b", b"1")])
+    assert store.state is State.WRITABLE and store.segments[-1].name != old
+    store.commit([(b"c", b"1")])
+    assert contents(store) == {b"a": b"1", b"c": b"1"}
+    assert not [op for op in disk.ops[-3:] if op[1] == old]
+
+
+def test_a_dead_disk_makes_it_read_only_until_it_heals() -> None:
+    disk = SimDisk()
+    store = Store.open(disk)
+    store.commit([(b"a", b"1")])
+
+    def dead(what: str, name: str, size: int) -> int:
+        if what != "read":
+            raise OSError(errno.ENOSPC, "No space left on device")
+        return size
+
+    disk.faults = dead
+    for _ in range(2):
+        with pytest.raises(CannotWrite, match="No space left"):
+            store.commit([(b"b", b"1")])
+    assert store.state is State.READ_ONLY and not store.heal() and store.get(b"a") == b"1"
+    disk.faults = lambda what, name, size: size
+    assert store.heal()
+    store.commit([(b"b", b"2")])
+    assert contents(store) == {b"a": b"1", b"b": b"2"}
+
+
+def test_it_never_passes_the_most_bytes_and_deletions_make_room() -> None:
+    bounds = plan.Bounds(segment_bytes=1000, most_bytes=8000)
+    disk = SimDisk()
+    store = Store.open(disk, bounds)
+    random, taken = Random(1), []
+    with pytest.raises(Full):
+        for number in range(1000):
+            store.commit([(b"%d" % number, random.randbytes(100))])
+            taken.append(number)
+            while store.compact_step():
+                pass
+    assert 40 < len(taken) and store.used_bytes <= 7000
+    store.commit([(b"%d" % number, None) for number in taken[::2]], must=True)
+    while store.compact_step():
+        pass
+    assert store.used_bytes < 5500 and sum(len(file.data) for file in disk.files.values()) < 8000
+    store.commit([(b"again", b"1")])
+
+
+def test_a_flipped_bit_before_the_last_commit_is_damage_and_says_where() -> None:
+    """Guards against taking damage for a torn end, which would forget what was told as done."""
+    history = History(plan.Bounds())
+    for number in range(20):
+        history.commit((b"key%d" % number, b"value"))
+    name = history.store.segments[-1].name
+    whole = bytes(history.disk.files[name].data)
+    last = frame.FRAME_BYTES + len(b"key19value")
+    for at in range(frame.HEAD_BYTES, len(whole)):
+        files = {name: bytes(file.data) for name, file in history.disk.files.items()}
+        files[name] = whole[:at] + bytes([whole[at] ^ 1 << at % 8]) + whole[at + 1:]
+        if at < len(whole) - last:
+            with pytest.raises(Damaged, match=f"{name}: byte"):
+                Store.open(SimDisk(files))
+            assert survey(SimDisk(files)).code == 2
+        else:  # in the last commit it can't be told from a torn end
+            assert len(Store.open(SimDisk(files))) == 19
+
+
+def test_spoilt_sealed_segments_manifests_and_newer_formats_are_refused_by_name() -> None:
+    history = scripted()
+    files = {name: bytes(file.data) for name, file in history.disk.files.items()}
+    sealed = history.store.segments[0].name
+
+    def opened(**changed: bytes | None) -> None:
+        now = {name: data for name, data in {**files, **changed}.items() if data is not None}
+        Store.open(SimDisk(now), SMALL)
+
+    with pytest.raises(Damaged, match=f"{sealed}: the manifest names it, and it is missing"):
+        opened(**{sealed: None})
+    with pytest.raises(Damaged, match=f"{sealed}: .* bytes were on the disk"):
+        opened(**{sealed: files[sealed][:-1]})
+    middle = len(files[sealed]) // 2
+    with pytest.raises(Damaged, match=sealed):
+        opened(**{sealed: files[sealed][:middle] + b"\xff\xff" + files[sealed][middle + 2:]})
+    with pytest.raises(Damaged, match="MANIFEST: it is missing"):
+        opened(MANIFEST=None)
+    with pytest.raises(Damaged, match="MANIFEST: this is no manifest"):
+        opened(MANIFEST=b"x")
+    newer = manifest._HEAD.pack(manifest.MAGIC, frame.FORMAT + 1, 0, 0)
+    with pytest.raises(NewerFormat, match="MANIFEST: format 2; this program reads formats up to 1"):
+        opened(MANIFEST=newer)
+    head = frame.HEAD.pack(frame.MAGIC, frame.FORMAT + 1, 1, 0)
+    with pytest.raises(NewerFormat, match=f"{sealed}: format 2"):
+        opened(**{sealed: head + files[sealed][len(head):]})
+    with pytest.raises(Damaged, match="head is that of another"):
+        opened(**{sealed: files[history.store.segments[-1].name] + b"x" * 1000})
+
+
+def test_files_of_others_are_left_alone_and_our_own_strays_removed() -> None:
+    disk = SimDisk({"notes.txt": b"mine", "00000009.seg": frame.head(9, 0), "MANIFEST.new": b"half"})
+    Store.open(disk)
+    assert disk.names() == ["00000001.seg", "MANIFEST", "notes.txt"]
+
+
+def test_compaction_frees_what_is_dead_and_keeps_what_is_written_meanwhile() -> None:
+    disk = SimDisk()
+    store = Store.open(disk, plan.Bounds(segment_bytes=200_000))
+    model = {}
+    for number in range(6000):
+        model[b"%d" % (number % 3000)] = b"%d" % number * 30
+        store.commit([(b"%d" % (number % 3000), b"%d" % number * 30)])
+    steps, before = 0, store.used_bytes
+    while store.compact_step(force=steps == 0):
+        steps += 1
+        key = b"%d" % (steps * 7)
+        if steps % 2:
+            store.commit([(key, None)])
+            del model[key]
+        else:
+            store.commit([(key, b"new")])
+            model[key] = b"new"
+    assert steps > 4 and store.totals.compactions and store.used_bytes < before / 2
+    assert contents(store) == model and contents(Store.open(SimDisk(
+        {name: bytes(file.data) for name, file in disk.files.items()}))) == model
+
+
+def test_one_process_only_and_a_folder_that_cannot_be_written(tmp_path: Path) -> None:
+    store = Store.open(Folder(tmp_path))
+    code = ("import sys, pathlib\nfrom slipbay.store.disk import Folder, InUse\n"
+            "from slipbay.store.engine import Store\n"
+            "try: Store.open(Folder(pathlib.Path(sys.argv[1])))\nexcept InUse as problem: print(problem)")
+    told = subprocess.run([sys.executable, "-c", code, str(tmp_path)], capture_output=True, text=True)
+    assert "another process has this store open" in told.stdout, told.stderr
+    with pytest.raises(InUse):
+        Store.open(Folder(tmp_path))
+    store.commit([(b"a", b"1")])
+    assert survey(Folder(tmp_path, writable=False)).records == {b"a": b"1"}  # a look needs no lock
+    store.close()
+    assert contents(Store.open(Folder(tmp_path))) == {b"a": b"1"}
+    assert stat.S_IMODE((tmp_path / "MANIFEST").stat().st_mode) == 0o600
+    disk = SimDisk()
+
+    def sealed(what: str, name: str, size: int) -> int:
+        if what in ("create", "append"):
+            raise OSError(errno.EROFS, "Read-only file system")
+        return size
+
+    disk.faults = sealed
+    with pytest.raises(OSError, match="Read-only"):
+        Store.open(disk)
+    assert not disk.locked
+
+
+def test_plans_merge_from_the_oldest_where_it_pays() -> None:
+    bounds, sizes = plan.Bounds(1000, 10_000), plan.Sizes
+    assert plan.merge([], 0, bounds) == 0
+    assert plan.merge([sizes(1000, 900)] * 3, 3000, bounds) == 0
+    assert plan.merge([sizes(1000, 100), sizes(1000, 900)], 2000, bounds) == 1
+    assert plan.merge([sizes(1000, 0), sizes(1000, 0), sizes(1000, 900)], 3000, bounds) == 2
+    assert plan.merge([sizes(1000, 800)] * 8, 8000, bounds) == 8  # little room is left
+    assert plan.merge([sizes(1000, 900)] * 8, 8000, bounds) == 0  # and nothing to win
+    assert plan.merge([sizes(10, 10)] * (plan.MOST_SEALED + 1), 650, bounds) == plan.MOST_SEALED + 1
+    assert plan.room(8700, 50, False, bounds) and not plan.room(8700, 51, False, bounds)
+    assert plan.room(9999, 1, True, bounds) and not plan.room(10_000, 1, True, bounds)
+
+
+def test_a_survey_tells_torn_ends_from_damage_and_writes_nothing() -> None:
+    history = scripted()
+    files = {name: bytes(file.data) for name, file in history.disk.files.items()}
+    active = history.store.segments[-1].name
+    assert survey(SimDisk(files)).code == 0 and survey(SimDisk(files)).records == history.states[-1]
+    disk = SimDisk({**files, active: files[active][:-1], "x": b"", "00000077.seg": b""})
+    found = survey(disk)
+    assert (found.code, found.strays, found.foreign) == (1, ["00000077.seg"], ["x"])
+    assert found.torn_bytes and not disk.ops
+    assert survey(SimDisk({})).problem == "MANIFEST: it is missing; this folder holds no store"
+
+
+# The writer
+
+
+class Gate:
+    """A disk whose syncs wait while the gate is shut."""
+
+    def __init__(self) -> None:
+        self.disk, self.open, self.reached = SimDisk(), threading.Event(), threading.Event()
+        self.open.set()
+        self.disk.faults = self._wait
+
+    def _wait(self, what: str, name: str, size: int) -> int:
+        if what == "sync":
+            self.reached.set()
+            assert self.open.wait(10)
+        return size
+
+
+def poster(loop: asyncio.AbstractEventLoop) -> Callable[[Callable[[], None]], None]:
+    return lambda call: void(loop.call_soon_threadsafe(call))
+
+
+def void(handle: object) -> None:
+    """For calls whose answer nobody wants."""
+
+
+async def opened(disk: SimDisk, grouping: Grouping | None = None) -> Writer:
+    loop = asyncio.get_running_loop()
+    ready: asyncio.Future[str] = loop.create_future()
+    writer = Writer(lambda: Store.open(disk), grouping or Grouping(), poster(loop))
+    writer.start(lambda store: dict(store.items()), lambda contents, problem: ready.set_result(problem))
+    assert await ready == ""
+    return writer
+
+
+def test_appends_are_grouped_and_told_in_order_while_the_disk_is_slow() -> None:
+    async def test() -> None:
+        gate, told = Gate(), list[int]()
+        writer = await opened(gate.disk)
+        gate.open.clear()
+        gate.reached.clear()
+        all_told = asyncio.Event()
+
+        def done(number: int, problem: StoreError | None) -> None:
+            assert problem is None
+            told.append(number)
+            if len(told) == 50:
+                all_told.set()
+
+        for number in range(50):
+            writer.append([(b"%d" % number, b"")], partial(done, number))
+            if number == 0:
+                await asyncio.to_thread(gate.reached.wait)
+        await asyncio.sleep(0)
+        assert told == []  # the loop goes on, and nothing is told before its time
+        syncs = sum(op[0] == "sync" for op in gate.disk.ops)
+        gate.open.set()
+        await all_told.wait()
+        assert told == list(range(50))
+        assert sum(op[0] == "sync" for op in gate.disk.ops) - syncs == 2
+        writer.close()
+
+    asyncio.run(asyncio.wait_for(test(), 20))
+
+
+def test_a_failing_disk_is_told_and_tried_again() -> None:
+    async def test() -> None:
+        disk, loop = SimDisk(), asyncio.get_running_loop()
+        writer = await opened(disk, Grouping(retry_us=1000))
+
+        async def append(key: bytes) -> StoreError | None:
+            answer: asyncio.Future[StoreError | None] = loop.create_future()
+            writer.append([(key, b"1")], answer.set_result)
+            return await answer
+
+        def dead(what: str, name: str, size: int) -> int:
+            if what != "read":
+                raise OSError(errno.EIO, "Input/output error")
+            return size
+
+        assert await append(b"a") is None
+        disk.faults = dead
+        assert isinstance(await append(b"b"), CannotWrite)
+        assert writer.health.state is State.READ_ONLY
+        disk.faults = lambda what, name, size: size
+        while writer.health.problem:
+            await asyncio.sleep(0.001)
+        assert await append(b"c") is None
+        value: asyncio.Future[bytes | None] = loop.create_future()
+        writer.get(b"c", value.set_result)
+        assert await value == b"1"
+        writer.close()
+        assert contents(Store.open(disk)) == {b"a": b"1", b"c": b"1"}
+
+    asyncio.run(asyncio.wait_for(test(), 20))
+
+
+def test_a_store_that_cannot_be_opened_refuses_each_append() -> None:
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        opened: asyncio.Future[str] = loop.create_future()
+        spoilt = SimDisk({"MANIFEST": b"x"})
+        writer = Writer(lambda: Store.open(spoilt), Grouping(), poster(loop))
+        writer.start(lambda store: None, lambda contents, problem: opened.set_result(problem))
+        assert "no manifest" in await opened
+        answer: asyncio.Future[StoreError | None] = loop.create_future()
+        writer.append([(b"a", b"")], answer.set_result)
+        assert isinstance(await answer, CannotWrite)
+        writer.close()
+
+    asyncio.run(asyncio.wait_for(test(), 20))
