--- a/martenkeel/decide.py
+++ b/martenkeel/decide.py
@@ -94,11 +94,18 @@
                     self.tell(now, body)
                 case api.StreamBegun() if query:
                     self.close(query, now, keep=event.attempt)
+                case api.Remembered(taken, extras):  # the ration goes on where an earlier life left it
+                    self.taken.recall(taken)
+                    self.extras.recall(extras)
                 case api.TimerFired(token) if token in self.timers:
                     self.timers.pop(token)(now)
         self.release(now)
         return self.actions
 
+    def memory(self) -> api.Remembered:
+        """What a later life of this gateway must be told, so that its ration does not begin anew."""
+        return api.Remembered(tuple(self.taken.items), tuple(self.extras.items))
+
     def arrive(self, event: api.QueryArrived, now: int) -> None:
         cls = self.classes[event.service_class]
         told = float(event.told_cost_us or cls.told.value() or cls.spec.aim_us)
--- a/martenkeel/interface.py
+++ b/martenkeel/interface.py
@@ -264,8 +264,16 @@
     body: bytes
 
 
+@dataclass(slots=True, frozen=True)
+class Remembered:
+    """What an earlier life of this gateway took and sent, as amounts by time, oldest first."""
+
+    taken: tuple[tuple[int, float], ...] = ()  # queries
+    extras: tuple[tuple[int, float], ...] = ()  # further attempts
+
+
 Event: TypeAlias = (EngineList | QueryArrived | StreamBegun | AttemptNote | AttemptEnded | QueryGone
-                    | TimerFired | ProbeEnded | PeerMessage)
+                    | TimerFired | ProbeEnded | PeerMessage | Remembered)
 
 # Actions
 
--- a/martenkeel/state.py
+++ b/martenkeel/state.py
@@ -40,6 +40,11 @@
         self.items.append((at, amount))
         self.total += amount
 
+    def recall(self, items: Iterable[tuple[int, float]]) -> None:
+        """Add amounts of earlier times."""
+        self.items = deque(sorted([*items, *self.items]))
+        self.total = sum(amount for _, amount in self.items)
+
     def since(self, start: int) -> float:
         """Sum of what came after ``start``; what is older is forgotten."""
         while self.items and self.items[0][0] <= start:
--- a/slipbay/back/http.py
+++ b/slipbay/back/http.py
@@ -12,7 +12,7 @@
 from martenkeel.interface import EngineId, Outcome
 from slipbay.back.pool import ANSWER_US, Pool, PooledStream, Sockets, Trouble, Wait
 from slipbay.config import Config
-from slipbay.core.router import Attempt, Exchange, Host
+from slipbay.core.router import Attempt, Exchange, Host, Inquiry
 from slipbay.core.timers import Timer, Timers
 from slipbay.log import log
 from slipbay.stream import Dialer
@@ -85,7 +85,9 @@
 class HttpExchange:
     """One attempt on one engine."""
 
-    def __init__(self, back: HttpBack, attempt: Attempt, pool: Pool[HttpConnection]) -> None:
+    def __init__(self, back: HttpBack, attempt: Attempt, pool: Pool[HttpConnection],
+                 resumed: bool = False) -> None:
+        """``resumed``: the query was sent in an earlier life, and is only asked for."""
         self._back, self._attempt, self._pool = back, attempt, pool
         self._path = f"/obj/{attempt.request.name}"
         self._posted = False  # the POST may have arrived whole
@@ -102,10 +104,21 @@
         self._pages: list[bytes] = []
         self._sheets = 0
         self._over = False
-        self._wait = pool.acquire(self._post, self._unreachable)
+        if resumed:
+            self._posted = self._answered = True
+            self._asked = back.now()
+            self._check = back.timers.at(self._asked + self._patience_us, self._check_on)
+            self._look_again()
+        else:
+            attempt.permit(HttpBack.wire, 0, self._reach)
 
     # Asking
 
+    def _reach(self) -> None:
+        """The attempt may leave."""
+        if not self._over:
+            self._wait = self._pool.acquire(self._post, self._unreachable)
+
     def _post(self, connection: HttpConnection) -> None:
         request, now = self._attempt.request, self._back.now()
         left = request.deadline - now
@@ -356,6 +369,8 @@
 class HttpBack:
     """All HTTP engines."""
 
+    wire = "http"
+
     def __init__(self, config: Config, timers: Timers, dialer: Dialer, sockets: Sockets,
                  now: Callable[[], int]) -> None:
         self._config, self.timers, self.now = config, timers, now
@@ -397,6 +412,15 @@
             return None
         return HttpExchange(self, attempt, pool)
 
+    def inquire(self, inquiry: Inquiry, until: int) -> None:
+        """Learn the end of an attempt of an earlier life; its query is called off at ``until``."""
+        pool = self._pools.get(inquiry.engine)
+        if pool is None:
+            inquiry.ended(Outcome.RESET)
+            return
+        exchange = HttpExchange(self, inquiry, pool, resumed=True)
+        self.timers.at(until, lambda: exchange.stop(Outcome.CANCELLED))
+
     def probe(self, engine: EngineId, done: Callable[[Outcome], None]) -> None:
         pool = self._pools.get(engine)
         if pool is None:
--- a/slipbay/back/mysql.py
+++ b/slipbay/back/mysql.py
@@ -14,8 +14,9 @@
 from martenkeel.interface import EngineId, Outcome
 from slipbay.back.pool import ANSWER_US, Pool, PooledStream, Sockets, Trouble, Wait
 from slipbay.config import Config, MysqlConfig
-from slipbay.core.router import Attempt, Exchange, Host
+from slipbay.core.router import Attempt, Exchange, Host, Inquiry
 from slipbay.core.timers import Timers
+from slipbay.ledger import recovery
 from slipbay.log import log
 from slipbay.stream import Dialer
 from slipbay.wire import mysql
@@ -148,7 +149,7 @@
         self._connection: MysqlConnection | None = None
         self._thread = 0  # the server's thread that may run the statement
         self._ran = False  # it may have come whole
-        self._proving = False
+        self._proof: ThreadEnd | None = None
         self._outcome = Outcome.RESET  # what to tell once the end is proven
         self._over = False
         self._wait: Wait[MysqlConnection] | None = None
@@ -193,6 +194,15 @@
             mysql.execute(statement, run)])
 
     def _run(self, connection: MysqlConnection, payloads: list[bytes]) -> None:
+        self.attempt.permit(MysqlBack.wire, connection.thread, lambda: self._leave(connection, payloads))
+
+    def _leave(self, connection: MysqlConnection, payloads: list[bytes]) -> None:
+        """The attempt may leave; the connection may have broken meanwhile."""
+        if self._over:
+            return
+        if connection.lost or connection.stale():
+            self._finish(Outcome.CONNECT_FAILED)  # nothing was sent on it
+            return
         reader = mysql.ResultReader()
         self._ran, self._thread = True, connection.thread
         connection.call(payloads, reader, lambda: self._answered(connection, reader.payloads), self._cut)
@@ -203,12 +213,12 @@
             return
         self._connection = None
         error = mysql.read_err(payloads[-1]) if payloads[-1][:1] == b"\xff" else None
-        if self._proving:
+        if self._proof is not None:
             connection.abandon()  # its thread is killed
         else:
             connection.release()
         if error is not None and error.code in TROUBLES:
-            self._finish(self._outcome if self._proving else Outcome.ERROR)
+            self._finish(self._outcome if self._proof is not None else Outcome.ERROR)
         else:
             self._finish(Outcome.OK, payloads)
 
@@ -228,7 +238,7 @@
 
     def stop(self, outcome: Outcome) -> None:
         """Ends the attempt once its thread is proven to be gone."""
-        if self._over or self._proving:
+        if self._over or self._proof is not None:
             return
         self._outcome = outcome
         if not self._ran:
@@ -239,23 +249,101 @@
             self._prove()
 
     def _prove(self) -> None:
-        if not self._over and (not self._proving or self._wait is None):
-            self._proving = True
-            self._wait = self._pool.acquire(self._kill, self._unkillable, fresh=True)
+        if not self._over and self._proof is None:
+            self._proof = ThreadEnd(self._back, self._pool, self._thread,
+                                    self.attempt.request.deadline + PROVE_US,
+                                    lambda: self._finish(self._outcome))
 
-    def _kill(self, connection: MysqlConnection) -> None:
-        self._wait = None
+    def set_priority(self, priority: int) -> None:
+        """The protocol has no word for it."""
+
+    def _finish(self, outcome: Outcome, result: object = None) -> None:
         if self._over:
-            connection.release()
-            return
-        if connection.lost:
-            self._prove_later(RETRY_US)
             return
+        self._over = True
+        if self._wait is not None:
+            self._wait.cancel()
+        if self._proof is not None:
+            self._proof.cancel()
+        if self._connection is not None and outcome is not Outcome.OK:
+            self._connection.abandon()
+        self._back.exchanges[self.attempt.engine].discard(self)
+        self.attempt.ended(outcome, result)
+
+
+class ThreadEnd:
+    """Kills a server's thread until the server knows no such thread; then, or when time is up, ``done``."""
+
+    def __init__(self, back: MysqlBack, pool: Pool[MysqlConnection], thread: int, until: int,
+                 done: Callable[[], None], born_before: int | None = None) -> None:
+        """``born_before``: the thread is killed only where the server's process is older than that."""
+        self._back, self._pool, self._thread, self._until = back, pool, thread, until
+        self._done, self._born_before = done, born_before
+        self._over = False
+        self._wait: Wait[MysqlConnection] | None = None
+        self._try()
+
+    def cancel(self) -> None:
+        self._over = True
+        if self._wait is not None:
+            self._wait.cancel()
+
+    def _end(self) -> None:
+        if not self._over:
+            self.cancel()
+            self._done()
+
+    def _try(self) -> None:
+        if not self._over and self._wait is None:
+            self._wait = self._pool.acquire(self._reached, self._unreachable, fresh=True)
+
+    def _unreachable(self, trouble: Trouble) -> None:
+        self._wait = None
+        if trouble is Trouble.REFUSED:
+            self._end()  # no process is there: nothing runs any more
+        else:
+            self._later()
+
+    def _later(self) -> None:
+        if self._back.now() > self._until:
+            self._end()
+        elif not self._over:
+            self._back.timers.after(RETRY_US, self._try)
+
+    def _reached(self, connection: MysqlConnection) -> None:
+        self._wait = None
         if connection.thread <= self._thread:
             # Threads are numbered upwards, and this connection is younger than the thread was: it is with a
             # new process, in which that number may be another's. (An idle connection would prove nothing.)
             connection.release()
-            self._finish(self._outcome)
+            self._end()
+        elif self._born_before is None:
+            self._kill(connection)
+        else:
+            self._ask_age(connection, self._born_before)
+
+    def _ask_age(self, connection: MysqlConnection, born_before: int) -> None:
+        """A server that began after the attempt has given its number to another's thread, perhaps."""
+        reader = mysql.ResultReader()
+
+        def answered() -> None:
+            age = mysql.read_uptime(reader.payloads)
+            if age is not None and recovery.same_server(born_before, age, self._back.now()):
+                self._kill(connection)
+                return
+            connection.release()
+            if age is None:
+                log("engine", "the server tells no uptime; a thread of an earlier life is not killed")
+            self._end()
+
+        self._call(connection, b"SHOW GLOBAL STATUS LIKE 'Uptime'", reader, answered)
+
+    def _kill(self, connection: MysqlConnection) -> None:
+        if self._over:
+            connection.release()
+            return
+        if connection.lost:
+            self._later()
             return
         reader = mysql.ResultReader()
 
@@ -267,45 +355,24 @@
             connection.release()
             error = mysql.read_err(answer)
             if error.code == mysql.ER_NO_SUCH_THREAD:
-                self._finish(self._outcome)
+                self._end()
             else:
                 log("engine", f"kill: {error.code} {error.message}")
-                self._prove_later(RETRY_US)
-
-        connection.call([bytes([mysql.COM_QUERY]) + b"KILL %d" % self._thread], reader, answered,
-                        lambda: self._prove_later(RETRY_US), self._back.now() + ANSWER_US)
-
-    def _unkillable(self, trouble: Trouble) -> None:
-        self._wait = None
-        if trouble is Trouble.REFUSED:
-            self._finish(self._outcome)  # no process is there: nothing runs any more
-        else:
-            self._prove_later(RETRY_US)
+                self._later()
 
-    def _prove_later(self, delay: int) -> None:
-        if self._back.now() > self.attempt.request.deadline + PROVE_US:
-            self._finish(self._outcome)
-        elif not self._over:
-            self._back.timers.after(delay, self._prove)
+        self._call(connection, b"KILL %d" % self._thread, reader, answered)
 
-    def set_priority(self, priority: int) -> None:
-        """The protocol has no word for it."""
-
-    def _finish(self, outcome: Outcome, result: object = None) -> None:
-        if self._over:
-            return
-        self._over = True
-        if self._wait is not None:
-            self._wait.cancel()
-        if self._connection is not None and outcome is not Outcome.OK:
-            self._connection.abandon()
-        self._back.exchanges[self.attempt.engine].discard(self)
-        self.attempt.ended(outcome, result)
+    def _call(self, connection: MysqlConnection, statement: bytes, reader: AnswerReader,
+              answered: Callable[[], None]) -> None:
+        connection.call([bytes([mysql.COM_QUERY]) + statement], reader, answered, self._later,
+                        self._back.now() + ANSWER_US)
 
 
 class MysqlBack:
     """All MySQL engines: those of the list that the configuration gives an address."""
 
+    wire = "mysql"
+
     def __init__(self, config: Config, mysql_config: MysqlConfig, timers: Timers, dialer: Dialer,
                  sockets: Sockets, now: Callable[[], int]) -> None:
         self.timers, self.now = timers, now
@@ -339,6 +406,14 @@
         self.exchanges[attempt.engine].add(exchange)
         return exchange
 
+    def inquire(self, inquiry: Inquiry, until: int) -> None:
+        """End an attempt of an earlier life. What it did can't be learned: its end is always ``RESET``."""
+        pool = self._pools.get(inquiry.engine)
+        if pool is None:
+            inquiry.ended(Outcome.RESET)
+        else:
+            ThreadEnd(self, pool, inquiry.thread, until, lambda: inquiry.ended(Outcome.RESET), inquiry.sent)
+
     def probe(self, engine: EngineId, done: Callable[[Outcome], None]) -> None:
         pool = self._pools.get(engine)
         if pool is None:
--- a/slipbay/config.py
+++ b/slipbay/config.py
@@ -7,9 +7,9 @@
 import re
 import tomllib
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, fields, replace
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from martenkeel import interface as api
 from martenkeel.wire import MalformedFrame, settings_from
@@ -20,7 +20,12 @@
 DEFAULT_CONNECT_TIMEOUT_US, DEFAULT_IDLE_US = 250_000, 30_000_000
 DEFAULT_MAX_OPEN = 4096
 DEFAULT_PACKET_BYTES, DEFAULT_MYSQL_IDLE_S = 1024 * 1024, 600.0
-MYSQL_FILE = Path(__file__).parent.parent / "deploy" / "mysql.toml"
+DEPLOY = Path(__file__).parent.parent / "deploy"
+MYSQL_FILE, STORE_FILE = DEPLOY / "mysql.toml", DEPLOY / "store.toml"
+KEY_BYTES = 700  # of memory for a key that the store holds, in the index and in the ledger (docs/store.md)
+
+
+Part = TypeVar("Part")
 
 
 class ConfigError(Exception):
@@ -74,6 +79,30 @@
     idle_us: int
     max_open: int
     mysql: MysqlConfig | None = None  # None: the MySQL front is off
+    store: StoreConfig | None = None  # None: nothing is kept over a restart
+
+
+@dataclass(frozen=True)
+class StoreConfig:
+    """Where and how what must survive a router's death is kept. Sizes in bytes, times in µs."""
+
+    folder: Path
+    segment_bytes: int
+    most_bytes: int
+    group_records: int
+    group_bytes: int
+    group_wait_us: int
+    retry_us: int
+    retention_us: int
+    most_answer_bytes: int
+    most_keys: int
+    recovery_us: int
+    later_us: int
+    stop_on_failure: bool
+
+
+CHANGEABLE = ("retention_us", "most_answer_bytes", "most_keys", "later_us", "stop_on_failure")
+"""Of a ``StoreConfig``: what a running router takes over."""
 
 
 @dataclass(frozen=True)
@@ -168,6 +197,12 @@
             raise ConfigError(f"{self.name(key)}: want a number of at least {least:g}; got {value!r}")
         return float(value)
 
+    def only(self, *known: str) -> None:
+        """Every key must be one that is known."""
+        for key in self.data:
+            if key not in known:
+                raise ConfigError(f"{self.name(key)}: no such key; there are {', '.join(known)}")
+
     def part(self, key: str, default: Any = None) -> Keys:
         return Keys(self.get(key, dict, "an object", default), self.name(key))
 
@@ -238,11 +273,30 @@
         config = from_json(Path(path).read_bytes(), environment)
     except OSError as problem:
         raise ConfigError(f"GW_CONFIG: {path} cannot be read: {problem.strerror}") from None
-    return replace(config, mysql=load_mysql(config, Path(environment.get("SLIPBAY_MYSQL") or MYSQL_FILE)))
+    return replace(config, mysql=load_mysql(config, Path(environment.get("SLIPBAY_MYSQL") or MYSQL_FILE)),
+                   store=load_store(config, Path(environment.get("SLIPBAY_STORE") or STORE_FILE)))
 
 
 def load_mysql(config: Config, path: Path) -> MysqlConfig | None:
     """The file that says where the MySQL front listens; None if it is absent or says ``enabled = false``."""
+    return _operator_file(path, lambda keys: _mysql(config, keys, path.parent))
+
+
+def load_store(config: Config, path: Path) -> StoreConfig | None:
+    """The file that says where the durable store lies; None if it is absent or says ``enabled = false``."""
+    return _operator_file(path, lambda keys: _store(config, keys, path.parent))
+
+
+def store_changes(old: StoreConfig | None, new: StoreConfig | None) -> list[str]:
+    """Keys of store.toml that differ and that only the next start heeds."""
+    if old is None or new is None:
+        return [] if old is new else ["store"]
+    return [f"store.{item.name}" for item in fields(new)
+            if item.name not in CHANGEABLE and getattr(old, item.name) != getattr(new, item.name)]
+
+
+def _operator_file(path: Path, read: Callable[[Keys], Part]) -> Part | None:
+    """A TOML file that switches a part on; errors name file and key."""
     try:
         keys = Keys(tomllib.loads(path.read_text()))
     except FileNotFoundError:
@@ -250,12 +304,42 @@
     except (OSError, ValueError) as problem:
         raise ConfigError(f"{path.name}: {problem}") from None
     try:
-        enabled = keys.get("enabled", bool, "true or false", False)
-        return _mysql(config, keys, path.parent) if enabled else None
+        return read(keys) if keys.get("enabled", bool, "true or false", False) else None
     except ConfigError as problem:
         raise ConfigError(f"{path.name}: {problem}") from None
 
 
+def _store(config: Config, keys: Keys, folder: Path) -> StoreConfig:
+    keys.only("enabled", "folder", "segment_mb", "most_mb", "commit", "keep", "recovery",
+              "when_it_cannot_write", "later_ms")
+    commit, keep, recovery = keys.part("commit", {}), keys.part("keep", {}), keys.part("recovery", {})
+    commit.only("most_records", "most_kb", "wait_us", "retry_ms")
+    keep.only("retention_h", "answer_kb", "most_keys")
+    recovery.only("most_s")
+    segment, most = keys.number("segment_mb", 0.01, 8.0), keys.number("most_mb", 0.1, 512.0)
+    if segment * 4 > most:
+        raise ConfigError(f"most_mb: want at least four times segment_mb ({segment:g}); got {most:g}")
+    answer, group = keep.number("answer_kb", 0, 64.0), commit.number("most_kb", 1, 1024.0)
+    if answer > 4096 or answer * 1024 > segment * 1024 * 1024 / 2:
+        raise ConfigError(f"keep.answer_kb: want at most 4096 and half of segment_mb; got {answer:g}")
+    keys_kept = int(keep.number("most_keys", 1, 100_000))
+    if keys_kept * KEY_BYTES > config.limits.memory_mb * 1024 * 1024 / 2:
+        raise ConfigError(f"keep.most_keys: {keys_kept} keys would take more than half of limits.memory_mb "
+                          f"({config.limits.memory_mb})")
+    failure = keys.text("when_it_cannot_write", "refuse")
+    if failure not in ("refuse", "stop"):
+        raise ConfigError(f"when_it_cannot_write: want 'refuse' or 'stop'; got {failure!r}")
+    return StoreConfig(
+        folder=folder / keys.text("folder"), segment_bytes=int(segment * 1024 * 1024),
+        most_bytes=int(most * 1024 * 1024), group_records=int(commit.number("most_records", 1, 256)),
+        group_bytes=int(group * 1024), group_wait_us=int(commit.number("wait_us", 0, 0)),
+        retry_us=int(commit.number("retry_ms", 1, 1000) * 1000),
+        retention_us=int(keep.number("retention_h", 0.001, 24.0) * 3600 * 1_000_000),
+        most_answer_bytes=int(answer * 1024), most_keys=keys_kept,
+        recovery_us=int(recovery.number("most_s", 0.1, 10.0) * 1_000_000),
+        later_us=int(keys.number("later_ms", 0, 1000) * 1000), stop_on_failure=failure == "stop")
+
+
 def _mysql(config: Config, keys: Keys, folder: Path) -> MysqlConfig:
     classes, deadlines = keys.part("classes"), keys.part("deadline_ms", {})
     estimates = keys.part("estimates", {})
--- /dev/null
+++ b/slipbay/core/keeper.py
@@ -0,0 +1,458 @@
+"""Joins the core to the ledger and its store: what must never run twice stays so over the death of a router.
+
+The ledger decides, the store's thread makes its changes durable, and this part carries messages between them,
+the core and the clients. Nothing here waits: all answers come by callback.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from functools import partial
+from typing import Protocol
+
+import msgpack
+
+from martenkeel import interface as api
+from martenkeel.interface import Outcome
+from slipbay.clock import Clock
+from slipbay.config import StoreConfig
+from slipbay.core.router import Answer, Attempt, Back, Core, Failed, Host, Inquiry, Refused, Request, Served
+from slipbay.core.timers import Timer, Timers
+from slipbay.ledger import recovery, tally
+from slipbay.ledger.life import ANSWER, REQUEST, TALLY, Change, Entry, Intent, Keeping, Ledger, Phase, Verdict
+from slipbay.ledger.recovery import Known, Learned, Way
+from slipbay.log import log
+from slipbay.store import plan
+from slipbay.store.disk import Folder
+from slipbay.store.engine import Store
+from slipbay.store.frame import StoreError
+from slipbay.store.writer import Grouping, Writer
+
+SWEEP_US = 1_000_000
+MOST_INQUIRIES = 32  # under way at once
+MAY_HAVE_RUN = "it may have run, and is never run again"
+UNKNOWN = "the durable store cannot be read, so it is not known whether it has run"
+NOT_KEPT = "it has run; its answer is not kept"
+OTHER_STATEMENT = "this key belongs to another statement"
+
+
+def keeping_of(config: StoreConfig) -> Keeping:
+    return Keeping(config.retention_us, config.most_answer_bytes, config.most_keys)
+
+
+def open_writer(config: StoreConfig, loop: asyncio.AbstractEventLoop) -> Writer:
+    """The store's thread, which answers in the loop; ``start`` opens the store."""
+    def post(call: Callable[[], None]) -> None:
+        loop.call_soon_threadsafe(call)
+
+    bounds = plan.Bounds(config.segment_bytes, config.most_bytes)
+    grouping = Grouping(config.group_records, config.group_bytes, config.group_wait_us, config.retry_us)
+    return Writer(lambda: Store.open(Folder(config.folder), bounds), grouping, post)
+
+
+class Inquirer(Back, Protocol):
+    """A back that can learn the fate of an attempt of an earlier life."""
+
+    wire: str
+
+    def inquire(self, inquiry: Inquiry, until: int) -> None:
+        """Ask the engine; the inquiry ends once, with ``RESET`` where nothing can be learned by ``until``."""
+
+
+@dataclass(slots=True, frozen=True)
+class Contents:
+    """What the store held when it was opened, read in its thread."""
+
+    ledger: Ledger
+    open: list[Entry]
+    tally: bytes | None
+
+
+class Nobody:
+    """In place of a client that has left a request which runs on, as it may come back for the answer."""
+
+    def answered(self, request: Request, answer: Answer) -> None:
+        pass
+
+
+NOBODY = Nobody()
+
+
+@dataclass(slots=True, eq=False)
+class Waiter:
+    """A request that waits for the end of another one under its key."""
+
+    request: Request
+    guard: Timer
+
+
+class Keeper:
+    """The life of requests that must never run twice. ``Core`` asks it where it is switched on."""
+
+    def __init__(self, config: StoreConfig, core: Core, clock: Clock, timers: Timers, writer: Writer,
+                 memory: Callable[[], api.Remembered], stop: Callable[[], None]) -> None:
+        self.config, self._core, self._clock, self._timers, self._writer = config, core, clock, timers, writer
+        self._stop = stop  # ends the router, where the configuration says so of a store that can't write
+        self._ledger: Ledger | None = None  # until the store was read
+        self._recovery: recovery.Progress | None = None
+        self._problem = ""  # why the store can't be used at all
+        self._waiters: dict[bytes, list[Waiter]] = {}
+        self._waiting = self._waiting_bytes = 0
+        self._runners: dict[bytes, Request] = {}
+        self._engines: dict[bytes, Known] = {}
+        self._inquirers: dict[str, Inquirer] = {}
+        self._memory = memory  # of the decisions
+        self._extras = False  # there were further attempts since the ration was last written
+        self._writing_tally = False
+
+    # Start, recovery and end
+
+    def start(self, inquirers: Sequence[Inquirer]) -> None:
+        """Open the store in its thread; requests that must not run twice are refused until that is done."""
+        self._inquirers = {inquirer.wire: inquirer for inquirer in inquirers}
+        keeping = keeping_of(self.config)
+
+        def load(store: Store) -> Contents:
+            ledger = Ledger(keeping)
+            open = ledger.load(store.items(lambda key: key[:1] == REQUEST))
+            return Contents(ledger, open, store.get(TALLY))
+
+        self._writer.start(load, self._opened)
+        self._timers.after(SWEEP_US, self._sweep)
+
+    def _opened(self, contents: object, problem: str) -> None:
+        if problem:
+            self._problem = problem
+            log("store", f"it cannot be opened, so nothing that must not run twice is taken: {problem}")
+            for key in list(self._waiters):
+                self._tell_waiters(key, Failed(UNKNOWN))
+            self._failed()
+            return
+        assert isinstance(contents, Contents)
+        now = self._clock.now()
+        self._ledger = contents.ledger
+        if contents.tally is not None:
+            try:
+                self._core.tell(tally.read(contents.tally, now))
+            except ValueError as trouble:
+                log("store", str(trouble))
+        log("store", f"read: {len(contents.ledger.entries)} keys, {len(contents.open)} of unknown fate")
+        self._recovery = recovery.Progress(contents.open, now + self.config.recovery_us)
+        held, self._waiters = self._waiters, {}
+        for waiter in [waiter for waiters in held.values() for waiter in waiters]:
+            self._let_go(waiter)
+            self._core.resubmit(waiter.request)
+        self._recover()
+
+    def _recover(self) -> None:
+        """Look into what is open, a few at a time, until all is settled or time is up."""
+        progress, now = self._recovery, self._clock.now()
+        if progress is None:
+            return
+        for entry in progress.given_up(now):
+            self._settle(entry, Learned.MAY_HAVE_RUN, b"")
+        for entry in progress.more(now, MOST_INQUIRIES):
+            self._inquire(entry, progress)
+        if progress.over:
+            self._recovery = None
+            if progress.entries:
+                log("store", f"recovered: {len(progress.entries)} requests of unknown fate are settled")
+
+    @property
+    def ready(self) -> bool:
+        """Whether requests that must not run twice are taken."""
+        return self._ledger is not None and self._recovery is None and not self._writer.health.problem
+
+    def _inquire(self, entry: Entry, progress: recovery.Progress) -> None:
+        over = False
+
+        def done(outcome: Outcome, result: object) -> None:
+            nonlocal over
+            if over:
+                return
+            over = True
+            late.cancel()
+            learned = recovery.judge(outcome)
+            self._settle(entry, learned, pack(result) if learned is Learned.SERVED else b"")
+            progress.settled()
+            self._recover()
+
+        late = self._timers.at(progress.until_us, lambda: done(Outcome.RESET, None))
+        intent = entry.intent
+        inquirer = self._inquirers.get(intent.wire) if intent is not None else None
+        if intent is None or inquirer is None or recovery.plan(intent, self._engines) is Way.NONE:
+            self._timers.after(0, lambda: done(Outcome.RESET, None))
+        else:
+            request = Request(intent.name, 0, 0, None, NOBODY, inquirer, deadline=intent.deadline_us)
+            inquirer.inquire(Inquiry(request, intent.attempt, intent.engine, intent.at_us, intent.birth_us,
+                                     intent.thread, done), progress.until_us)
+
+    def _settle(self, entry: Entry, learned: Learned, answer: bytes) -> None:
+        assert self._ledger is not None
+        now, waiters = self._clock.now(), bool(self._waiters.get(entry.key))
+        match learned:
+            case Learned.SERVED:
+                self._write(self._ledger.serve(entry, answer, waiters, now))
+                self._tell_waiters(entry.key, Served(unpack(answer)))
+            case Learned.MAY_HAVE_RUN:
+                self._write(self._ledger.fail(entry, waiters, now))
+                self._tell_waiters(entry.key, Failed(MAY_HAVE_RUN))
+            case Learned.UNRUN:
+                entry.left = False
+                self._write(self._ledger.refuse(entry))
+                self._tell_waiters(entry.key, Refused(self._later))
+
+    def listed(self, kind: api.ListKind, hosts: list[Host]) -> None:
+        """News of engines and their births."""
+        if kind is not api.ListKind.DELTA:
+            self._engines.clear()
+        for host in hosts:
+            if host.entry.state is api.EngineState.GONE:
+                self._engines.pop(host.entry.engine, None)
+            else:
+                self._engines[host.entry.engine] = Known(host.entry.ready_at_us)
+
+    def reload(self, config: StoreConfig) -> None:
+        """Take over what can change in a running router."""
+        self.config = config
+        if self._ledger is not None:
+            self._ledger.keeping = keeping_of(config)
+
+    def close(self) -> None:
+        self._writer.close()
+
+    # Requests
+
+    def keeps(self, service_class: int) -> bool:
+        """Whether requests of a class must never run twice, so that their keys are held."""
+        return self._core.settings.classes[service_class].effect is api.Effect.UNSAFE
+
+    def knows(self, key: bytes) -> bool:
+        return self._ledger is not None and key in self._ledger.entries
+
+    def admit(self, request: Request) -> bool:
+        """Whether the core goes on with a request; if not, its answer comes from here."""
+        if self._ledger is None:  # it may be a repeat of one that has run: it can't be refused
+            if self._problem:
+                log("unsafe", f"failed, as the store cannot be read: {self._problem}")
+                self._answer_soon(request, Failed(UNKNOWN))
+            else:
+                self._hold(request)
+            return False
+        if not self.knows(request.key) and (self._recovery is not None or self._writer.health.problem):
+            log("unsafe", "refused for now: " + (
+                self._writer.health.problem or "the fate of earlier requests is being learned"))
+            self._answer_soon(request, Refused(self._later))
+            return False
+        return self._ask(self._ledger, request)
+
+    def _hold(self, request: Request) -> None:
+        """It waits for another's end, or for the store to be read; nothing else can be said before that."""
+        if self._waiting >= self._core.max_open or self._waiting_bytes + request.size > self._core.max_bytes:
+            self._answer_soon(request, Failed("too many requests wait here; it may have run"))
+            return
+        self._waiting += 1
+        self._waiting_bytes += request.size
+        guard = self._timers.at(request.deadline, lambda: self._waited(request))
+        self._waiters.setdefault(request.key, []).append(Waiter(request, guard))
+
+    def _ask(self, ledger: Ledger, request: Request) -> bool:
+        verdict = ledger.ask(request.key, request.digest, request.named, self._clock.now())
+        match verdict:
+            case Verdict.NEW:
+                self._runners[request.key] = request
+                return True
+            case Verdict.ATTACH:
+                self._hold(request)
+            case Verdict.AGAIN:
+                self._writer.get(ANSWER + request.key, lambda value: self._again(request, value))
+            case Verdict.ANSWER_GONE:
+                self._answer_soon(request, Failed(NOT_KEPT))
+            case Verdict.MAY_HAVE_RUN:
+                self._write(ledger.tell(ledger.entries[request.key]))
+                self._answer_soon(request, Failed(MAY_HAVE_RUN))
+            case Verdict.CONFLICT:
+                self._answer_soon(request, Failed(OTHER_STATEMENT, misuse=True))
+            case Verdict.NO_ROOM:
+                log("unsafe", "more keys are held than store.toml allows; new ones are refused")
+                self._answer_soon(request, Refused(self._later))
+        return False
+
+    @property
+    def _later(self) -> int:
+        return self.config.later_us
+
+    def _answer_soon(self, request: Request, answer: Answer) -> None:
+        request.over = True
+        self._timers.after(0, lambda: request.client.answered(request, answer))
+
+    def _again(self, request: Request, value: bytes | None) -> None:
+        assert self._ledger is not None
+        entry = self._ledger.entries.get(request.key)
+        if entry is not None:
+            self._write(self._ledger.tell(entry))
+        if not request.over:
+            request.over = True
+            request.client.answered(request, Failed(NOT_KEPT) if value is None else Served(unpack(value)))
+
+    def _waited(self, request: Request) -> None:
+        """The deadline of one that waits for another's end: the other runs on."""
+        self._unwait(request)
+        if not request.over:
+            request.over = True
+            request.client.answered(request, Failed("the deadline has passed; it may have run", late=True))
+
+    def _let_go(self, waiter: Waiter) -> None:
+        waiter.guard.cancel()
+        self._waiting -= 1
+        self._waiting_bytes -= waiter.request.size
+
+    def _unwait(self, request: Request) -> bool:
+        waiters = self._waiters.get(request.key, [])
+        for waiter in waiters:
+            if waiter.request is request:
+                self._let_go(waiter)
+                waiters.remove(waiter)
+                if not waiters:
+                    del self._waiters[request.key]
+                return True
+        return False
+
+    def left(self, request: Request, cancelled: bool) -> None:
+        """A client has left, or called its request off.
+
+        One whose client was merely cut off runs on where the client may come back under its key.
+        """
+        runner = self._runners.get(request.key)
+        if runner is not request:
+            request.over = True
+            self._unwait(request)
+        elif request.named and not cancelled or self._waiters.get(request.key):
+            request.client = NOBODY
+        else:
+            runner.client = NOBODY
+        if (runner is not None and runner.client is NOBODY and not self._waiters.get(request.key)
+                and (cancelled or not runner.named)):
+            self._core.give_up(runner)  # the last one who wanted it
+            self.answered(runner, Failed("called off"))
+
+    def permit(self, attempt: Attempt, wire: str, thread: int, go: Callable[[], None]) -> None:
+        """Make the intent durable, then let the attempt leave by ``go``."""
+        assert self._ledger is not None
+        request, now = attempt.request, self._clock.now()
+        entry = self._ledger.entries.get(request.key)
+        if entry is None or entry.left or self._runners.get(request.key) is not request:
+            return  # it was given up: its exchange has been told to stop, or its deadline will tell it
+        known = self._engines.get(attempt.engine)
+        changes = self._ledger.intend(entry, Intent(
+            attempt.number, attempt.engine, known.birth_us if known else 0, wire, request.name, thread, now,
+            request.deadline), now)
+
+        def durable(problem: StoreError | None) -> None:
+            assert self._ledger is not None
+            if problem is not None:
+                self._ledger.unrun(entry, attempt.number)
+                log("unsafe", f"an attempt was kept back: {problem}")
+                self._core.keep_back(attempt, self._later)
+                self._failed()
+            elif not attempt.over and self._ledger.leaves(entry, attempt.number):
+                go()
+
+        self._writer.append(changes, durable)
+
+    def attempt_ended(self, attempt: Attempt, outcome: Outcome, result: object) -> None:
+        """The end of an attempt, before its request hears of it."""
+        if self._ledger is None:
+            return
+        request = attempt.request
+        entry = self._ledger.entries.get(request.key)
+        if entry is None:
+            return
+        if outcome is Outcome.OK and (self._runners.get(request.key) is request or request.over):
+            # also where the client was told earlier that it failed: a repeat gets what really was
+            told = not request.over and request.client is not NOBODY or bool(self._waiters.get(request.key))
+            self._write(self._ledger.serve(entry, pack(result), told, self._clock.now()))
+        elif outcome.proves_unrun:
+            self._ledger.unrun(entry, attempt.number)
+
+    def answered(self, request: Request, answer: Answer) -> None:
+        """The request's one answer, just before its client gets it."""
+        if self._ledger is None or self._runners.get(request.key) is not request:
+            return
+        del self._runners[request.key]
+        entry = self._ledger.entries.get(request.key)
+        told = request.client is not NOBODY or bool(self._waiters.get(request.key))
+        if entry is not None and entry.phase is not Phase.ENDED:
+            if isinstance(answer, Refused) and not entry.left:
+                self._write(self._ledger.refuse(entry))
+            else:
+                self._write(self._ledger.fail(entry, told, self._clock.now()))
+        self._tell_waiters(request.key, answer)
+
+    def _tell_waiters(self, key: bytes, answer: Answer) -> None:
+        for waiter in self._waiters.pop(key, []):
+            self._let_go(waiter)
+            waiter.request.over = True
+            waiter.request.client.answered(waiter.request, answer)
+
+    # The ration
+
+    def dispatched(self, attempt: Attempt) -> None:
+        """Further attempts count over a restart."""
+        if attempt.number and self._ledger is not None:
+            self._extras = True
+            self._write_tally()
+
+    def _write_tally(self) -> None:
+        if self._extras and not self._writing_tally:
+            self._extras, self._writing_tally = False, True
+            self._timers.after(0, self._write_memory)  # once the turn's decisions are all carried out
+
+    def _write_memory(self) -> None:
+        self._writer.append([(TALLY, tally.write(self._memory()))], self._tally_written, must=True)
+
+    def _tally_written(self, problem: StoreError | None) -> None:
+        self._writing_tally = False
+        if problem is None:
+            self._write_tally()
+
+    # The store
+
+    def _write(self, changes: list[Change]) -> None:
+        """Changes that nobody waits for: at worst they are not there after a crash, and a repeat is told
+        that the request may have run."""
+        if changes:
+            self._writer.append(changes, partial(self._written, changes), must=True)
+
+    def _written(self, changes: list[Change], problem: StoreError | None) -> None:
+        if problem is not None:
+            log("store", f"{len(changes)} changes were not written: {problem}")
+            self._failed()
+
+    def _failed(self) -> None:
+        if self.config.stop_on_failure:
+            log("store", "the store can't write; the router ends, as store.toml says")
+            self._stop()
+
+    def _sweep(self) -> None:
+        if self._ledger is not None:
+            self._write(self._ledger.expire(self._clock.now()))
+        self._timers.after(SWEEP_US, self._sweep)
+
+    def figures(self) -> Mapping[str, object]:
+        """For a log line at the end."""
+        return {"keys": len(self._ledger.entries) if self._ledger else 0,
+                "used_bytes": self._writer.health.used_bytes}
+
+
+def pack(result: object) -> bytes:
+    """A result as it is kept: what a back made, bytes or a list of packets."""
+    data: bytes = msgpack.packb(result)
+    return data
+
+
+def unpack(data: bytes) -> object:
+    found: object = msgpack.unpackb(data)
+    return found
--- a/slipbay/core/router.py
+++ b/slipbay/core/router.py
@@ -18,6 +18,7 @@
 from slipbay.core.timers import Timer, Timers
 from slipbay.log import log
 
+FAILED = "the query failed"  # when the decisions say no more of it
 GUARD_US = 10_000  # after a deadline, when the core answers in place of decisions that did not
 
 
@@ -36,6 +37,7 @@
 class Failed:
     reason: str
     late: bool = False  # the deadline passed
+    misuse: bool = False  # the client's own mistake
 
 
 Answer: TypeAlias = Served | Refused | Failed
@@ -65,6 +67,31 @@
     def set_priority(self, priority: int) -> None: ...
 
 
+class Guardian(Protocol):
+    """Holds requests with a key, so that they never run twice, not even over a death of this process."""
+
+    def keeps(self, service_class: int) -> bool:
+        """Whether requests of a class must have a key."""
+
+    def knows(self, key: bytes) -> bool: ...
+
+    def admit(self, request: Request) -> bool:
+        """Whether the core goes on with a request; if not, it was or will be answered from there."""
+
+    def left(self, request: Request, cancelled: bool) -> None:
+        """The client of a request has gone, or has called it off."""
+
+    def permit(self, attempt: Attempt, wire: str, thread: int, go: Callable[[], None]) -> None:
+        """Calls ``go`` once the attempt may leave; never, where it is given up before."""
+
+    def attempt_ended(self, attempt: Attempt, outcome: Outcome, result: object) -> None: ...
+
+    def answered(self, request: Request, answer: Answer) -> None:
+        """The one answer of a request that was admitted, just before its client gets it."""
+
+    def dispatched(self, attempt: Attempt) -> None: ...
+
+
 class Back(Protocol):
     """Engines of one wire."""
 
@@ -97,6 +124,9 @@
     is_write: bool = False
     handle: int = 0  # what its client knows it by
     size: int = 0  # bytes of its work
+    key: bytes = b""  # under which it never runs twice; "" for requests that may
+    digest: bytes = b""  # tells one statement under a key from another
+    named: bool = False  # the client may come back under the key
 
     id: int = 0
     deadline: int = 0
@@ -123,24 +153,52 @@
             self.over = True
             self._core.attempt_ended(self, outcome, result)
 
+    def permit(self, wire: str, thread: int, go: Callable[[], None]) -> None:
+        """Backs ask before the first byte of an attempt leaves; ``go`` is called at once or later."""
+        guardian = self._core.guardian
+        if guardian is None or not self.request.key:
+            go()
+        else:
+            guardian.permit(self, wire, thread, go)
+
     def noted(self, kind: api.NoteKind, value: float) -> None:
         if not self.over:
             self._core.tell(api.AttemptNote(self.request.id, self.number, self.engine, kind, value))
 
 
+class Inquiry(Attempt):
+    """An attempt of an earlier life of this process, whose end is to be learned; no core knows of it."""
+
+    def __init__(self, request: Request, number: int, engine: api.EngineId, sent: int, birth_us: int,
+                 thread: int, done: Callable[[Outcome, object], None]) -> None:
+        self.request, self.number, self.engine, self.sent = request, number, engine, sent
+        self.birth_us, self.thread, self._done = birth_us, thread, done
+        self.exchange = self.limit = None
+        self.over = False
+
+    def ended(self, outcome: Outcome, result: object = None) -> None:
+        if not self.over:
+            self.over = True
+            self._done(outcome, result)
+
+    def noted(self, kind: api.NoteKind, value: float) -> None:
+        pass
+
+
 class Core:
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, timers: Timers,
                  decider: api.Decider, settings: api.Settings, max_open: int,
                  max_bytes: int) -> None:
         self._loop, self.clock, self.timers = loop, clock, timers
-        self._decider, self._settings = decider, settings
-        self._max_open, self._max_bytes, self._bytes = max_open, max_bytes, 0
+        self._decider, self.settings = decider, settings
+        self.max_open, self.max_bytes, self._bytes = max_open, max_bytes, 0
         self._events: list[api.Event] = []
         self._turn_due = False
         self._next_id = 0
         self.requests: dict[int, Request] = {}
         self.backs: list[Back] = []
         self.tell_peers: Callable[[bytes, int | None], None] = lambda body, to: None
+        self.guardian: Guardian | None = None  # None: nothing is kept over a death of the process
         self.idle: Callable[[], None] = lambda: None  # told when no request is left
 
     def tell(self, event: api.Event) -> None:
@@ -157,10 +215,21 @@
         self._next_id += 1
         now = self.clock.now()
         request.id, request.deadline = self._next_id, now + request.expires_in_us
-        if len(self.requests) >= self._max_open or self._bytes + request.size > self._max_bytes:
+        if not request.key or self.guardian is None or self.guardian.admit(request):
+            self._take(request, now)
+
+    def resubmit(self, request: Request) -> None:
+        """A request that the guardian held until now."""
+        now = self.clock.now()
+        request.expires_in_us = max(1, request.deadline - now)
+        if self.guardian is None or self.guardian.admit(request):
+            self._take(request, now)
+
+    def _take(self, request: Request, now: int) -> None:
+        if len(self.requests) >= self.max_open or self._bytes + request.size > self.max_bytes:
             request.over = True
-            wait = self._settings.max_retry_after_us // 2
-            self._loop.call_soon(request.client.answered, request, Refused(wait))
+            wait = self.settings.max_retry_after_us // 2
+            self._loop.call_soon(self._tell_client, request, Refused(wait))
             return
         self.requests[request.id] = request
         self._bytes += request.size
@@ -169,12 +238,27 @@
             request.id, request.service_class, request.expires_in_us, request.cost_us, request.memory_mb,
             float(request.group), 0, request.tenant, request.is_repeat, request.is_write))
 
-    def gone(self, request: Request) -> None:
-        """The client has left: no answer is owed any more."""
+    def gone(self, request: Request, cancelled: bool = False) -> None:
+        """The client has left, or has called the request off: no answer is owed any more."""
+        if request.key and self.guardian is not None:
+            self.guardian.left(request, cancelled)
+        else:
+            self.give_up(request)
+
+    def give_up(self, request: Request) -> None:
+        """Nobody wants a request any more."""
         if not request.over:
             self._conclude(request)
             self.tell(api.QueryGone(request.id))
 
+    def keep_back(self, attempt: Attempt, later_us: int) -> None:
+        """An attempt may not leave, and no other one: its request is refused, as nothing ran."""
+        request = attempt.request
+        if not request.over:
+            self._answer(request, Refused(later_us))
+            self.tell(api.QueryGone(request.id))
+        self._stop(attempt, Outcome.CANCELLED)
+
     # From the backs
 
     def attempt_ended(self, attempt: Attempt, outcome: Outcome, result: object) -> None:
@@ -182,6 +266,8 @@
         if attempt.limit is not None:
             attempt.limit.cancel()
         del request.out[attempt.number]
+        if request.key and self.guardian is not None:
+            self.guardian.attempt_ended(attempt, outcome, result)
         if outcome is Outcome.OK:
             self._answer(request, Served(result))
         self.tell(api.AttemptEnded(request.id, attempt.number, attempt.engine, outcome,
@@ -217,7 +303,7 @@
             case api.Fail(query):
                 if query in self.requests:
                     request = self.requests[query]
-                    self._answer(request, Failed("the query failed", now >= request.deadline - GUARD_US))
+                    self._answer(request, Failed(FAILED, now >= request.deadline - GUARD_US))
             case api.SetTimer(token, at):
                 self.timers.at(at, lambda: self.tell(api.TimerFired(token)))
             case api.SetTerms(query, priority, memory):
@@ -241,11 +327,13 @@
         attempt = Attempt(self, request, request.attempts, engine, now)
         request.attempts += 1
         request.out[attempt.number] = attempt
-        if request.over or attempt.number >= self._settings.max_attempts or now >= request.deadline:
+        if request.over or attempt.number >= self.settings.max_attempts or now >= request.deadline:
             attempt.ended(Outcome.MOOT)
             return
         if limit > 0:
             attempt.limit = self.timers.at(now + limit, lambda: self._stop(attempt, Outcome.TIMEOUT))
+        if self.guardian is not None:
+            self.guardian.dispatched(attempt)
         attempt.exchange = request.back.start(attempt)
 
     def _stop(self, attempt: Attempt, outcome: Outcome) -> None:
@@ -282,7 +370,12 @@
     def _answer(self, request: Request, answer: Answer) -> None:
         if not request.over:
             self._conclude(request)
-            request.client.answered(request, answer)
+            self._tell_client(request, answer)
+
+    def _tell_client(self, request: Request, answer: Answer) -> None:
+        if request.key and self.guardian is not None:
+            self.guardian.answered(request, answer)
+        request.client.answered(request, answer)
 
     def _conclude(self, request: Request) -> None:
         request.over = True
--- a/slipbay/front/jsonrpc.py
+++ b/slipbay/front/jsonrpc.py
@@ -7,6 +7,7 @@
 from slipbay.config import Config
 from slipbay.core.router import Answer, Back, Core, Failed, Refused, Request, Served
 from slipbay.front.server import IDLE_US, ClientConnection, Server
+from slipbay.ledger.digest import digest
 from slipbay.log import log
 from slipbay.wire import jsonrpc, sql
 from slipbay.wire.lines import Lines, LineTooLong
@@ -23,20 +24,31 @@
         self.core, self.back, self.well = core, back, well
         self.classes = {name: number for number, name in enumerate(config.classes)}
         self.tenants = {name: number for number, name in enumerate(config.tenants)}
-        self._used: dict[str, None] = {}  # the last txns, oldest first
+        self._used: dict[str, bool] = {}  # the last txns, oldest first, and whether their requests have keys
 
-    def use(self, txn: str) -> bool:
-        """Whether a txn is new. Engines know queries by it alone: under one that is in use a client would be
-        given the answer to another's statement, and giving its own request up would end the other's."""
+    def use(self, txn: str, has_key: bool) -> bool:
+        """Whether a txn may be used. Engines know queries by it alone: under one in use a client would
+        be given the answer to another's statement, and giving its own request up would end the other's.
+
+        One whose request has a key may be used again: the key tells what that gets.
+        """
         key = txn.lower()
-        if key in self._used:
+        guardian = self.core.guardian
+        if not has_key and guardian is not None and guardian.knows(key_of(txn)):
             return False
-        self._used[key] = None
+        if key in self._used:
+            return has_key and self._used[key]
+        self._used[key] = has_key
         if len(self._used) > MOST_TXNS:
             del self._used[next(iter(self._used))]
         return True
 
 
+def key_of(txn: str) -> bytes:
+    """Under which a request of this front is held."""
+    return b"json:" + txn.lower().encode()
+
+
 class JsonRpcConnection(ClientConnection):
     def __init__(self, server: Server, front: JsonRpcFront) -> None:
         super().__init__(server)
@@ -83,7 +95,7 @@
         for id, request in self._open.items():
             if named in (id, request.name):
                 del self._open[id]
-                self._front.core.gone(request)
+                self._front.core.gone(request, cancelled=True)
                 break
 
     def _answer_call(self, call: jsonrpc.Call, id: int) -> None:
@@ -106,17 +118,23 @@
             if params.team not in self._front.tenants:
                 raise jsonrpc.Problem(id, jsonrpc.INVALID_PARAMS, "team is not known here")
             tenant = self._front.tenants[params.team]
-        if not self._front.use(params.txn):
+        service_class, guardian = self._front.classes[call.method], self._front.core.guardian
+        has_key = guardian is not None and guardian.keeps(service_class)
+        if not self._front.use(params.txn, has_key):
             raise jsonrpc.Problem(id, jsonrpc.INVALID_PARAMS, "txn has been used")
         request = Request(
-            params.txn, self._front.classes[call.method], params.limit_us, params.statement, self,
+            params.txn, service_class, params.limit_us, params.statement, self,
             self._front.back, params.cost_us, params.memory_mb,
             sql.table_group(params.statement.decode("utf-8", "replace")), tenant, params.is_repeat,
             handle=id, size=len(params.statement))
+        if has_key:
+            request.key, request.named = key_of(params.txn), True
+            request.digest = digest(call.method.encode(), (params.team or "").encode(), params.statement)
         self._open[id] = request
         self._front.core.submit(request)
 
     def answered(self, request: Request, answer: Answer) -> None:
+        """The answer of a request that is still open here."""
         id = request.handle
         if self._open.pop(id, None) is None:
             return  # cancelled, or its connection is gone
@@ -126,6 +144,8 @@
                 self.write(jsonrpc.result(id, result))
             case Refused(retry_after_us, _):
                 self.write(jsonrpc.error(id, jsonrpc.REFUSED, "refused for now", retry_after_us // 1000))
+            case Failed(reason, misuse=True):
+                self.write(jsonrpc.error(id, jsonrpc.INVALID_PARAMS, reason))
             case Failed(reason):
                 self.write(jsonrpc.error(id, jsonrpc.FAILED, reason))
         self.settled()
--- a/slipbay/front/mysql.py
+++ b/slipbay/front/mysql.py
@@ -15,9 +15,10 @@
 
 from martenkeel import interface as api
 from slipbay.config import Config, MysqlConfig
-from slipbay.core.router import Answer, Back, Core, Failed, Refused, Request, Served
+from slipbay.core.router import FAILED, Answer, Back, Core, Failed, Refused, Request, Served
 from slipbay.front.identity import Identity
 from slipbay.front.server import ClientConnection, Server
+from slipbay.ledger.digest import digest
 from slipbay.log import log
 from slipbay.wire import mysql, sql
 from slipbay.wire.spiffe import TlsServer
@@ -26,6 +27,7 @@
 MOST_STATEMENTS = 256  # prepared on one connection
 MOST_WAITING = 16  # commands that came while one is being answered; the protocol has no such clients
 MOST_LOGIN_BYTES = 16 * 1024
+MOST_KEY_BYTES = 200  # of a key that a client gives a statement
 UTF8_CHARSETS = frozenset((33, 45, 46, 76, 83, 192, *range(193, 216), *range(223, 248), *range(255, 324)))
 SESSION_VERBS = frozenset((
     "begin", "start", "commit", "rollback", "savepoint", "release", "lock", "unlock", "use", "xa", "prepare",
@@ -71,11 +73,24 @@
         if not work.prepare:
             deadline = min(deadline, int(_figure(told, "deadline_ms", deadline / 1000) * 1000))
         cost = _figure(told, "cpu_ms", -1.0)
-        return Request(
+        request = Request(
             secrets.token_hex(8), number, deadline, work, client, self.back,
             int(cost * 1000) if cost >= 0 else estimate.cost_us,
             _figure(told, "ram_mb", estimate.memory_mb), sql.table_group(text), tenant,
             is_write=not (work.prepare or outline.only_reads), size=work.size)
+        if not work.prepare and self.core.guardian is not None and self.core.guardian.keeps(number):
+            self._hold(request, work, told.get("key"))
+        return request
+
+    def _hold(self, request: Request, work: mysql.Work, named: str | None) -> None:
+        """A key for a request that must not run twice: the client's, if its hint names one."""
+        tenant = self.config.tenants[request.tenant] if self.config.tenants else ""
+        request.named = named is not None
+        request.key = f"mysql:{tenant}:{request.name if named is None else named}".encode()
+        run = work.run
+        parameters = [] if run is None else [
+            run.nulls, run.types, run.values, *(b"%d:" % n + run.long_data[n] for n in sorted(run.long_data))]
+        request.digest = digest(work.sql, *parameters)
 
     def _class_of(self, text: str, outline: sql.Outline, told: dict[str, str]) -> int:
         """Hints and rules choose, but what is not plainly a read stays in a class that is never run twice."""
@@ -280,7 +295,10 @@
 
     def _statement_allowed(self, sequence: int, text: str, outline: sql.Outline) -> bool:
         words = sorted(outline.words & SESSION_WORDS)
-        if outline.verb in SESSION_VERBS:
+        key = sql.hints(text, self._front.mysql.hint).get("key", "?")
+        if not 0 < len(key.encode()) <= MOST_KEY_BYTES:
+            self._error(sequence, mysql.ER_WRONG_ARGUMENTS, f"A key has 1 to {MOST_KEY_BYTES} bytes")
+        elif outline.verb in SESSION_VERBS:
             self._unsupported(sequence, outline.verb.upper())
         elif outline.has_hidden_code:  # it could change the session of an engine connection unseen
             self._unsupported(sequence, "a comment with code")
@@ -376,6 +394,10 @@
                             f"Refused for now; nothing ran, retry after {retry_after_us // 1000} ms")
             case Failed(_, late=True):
                 self._error(sequence, mysql.ER_QUERY_TIMEOUT, "The deadline has passed")
+            case Failed(reason, misuse=True):
+                self._error(sequence, mysql.ER_WRONG_ARGUMENTS, reason)
+            case Failed(reason) if request.key and reason != FAILED:
+                self._error(sequence, mysql.ER_FAILED, f"The statement failed: {reason}")
             case _:
                 self._error(sequence, mysql.ER_FAILED, "The statement failed; it may have run")
         self._next_command()
--- /dev/null
+++ b/slipbay/ledger/digest.py
@@ -0,0 +1,14 @@
+"""Tells one statement under a key from another."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+
+
+def digest(*parts: bytes) -> bytes:
+    """16 bytes that stand for the parts: statement, tenant, parameters (BLAKE2b, RFC 7693)."""
+    state = blake2b(digest_size=16)
+    for part in parts:
+        state.update(len(part).to_bytes(8, "little"))
+        state.update(part)
+    return state.digest()
--- /dev/null
+++ b/slipbay/ledger/life.py
@@ -0,0 +1,240 @@
+"""The life of a request that must never run twice, by its key: what is kept of it, and what a repeat gets.
+
+A key is *taken* when its request is, in memory alone: nothing has left yet, so nothing is lost by forgetting
+it. An *intent* is durable before the first byte of an attempt leaves. Once an attempt may have run, its key
+is held until its fate was told and the retention has passed; a key whose attempts all proved not to have run
+is free again. Times are whole microseconds of the Unix clock; the ledger's own time never goes back.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+import msgpack
+
+Change = tuple[bytes, bytes | None]
+
+REQUEST, ANSWER, TALLY = b"r", b"a", b"t"  # first byte of a store's key: what it holds
+
+
+class Phase(Enum):
+    TAKEN = "taken"  # no attempt has been allowed to leave
+    RUNNING = "running"  # an intent is durable, or on its way to be
+    ENDED = "ended"
+
+
+class Fate(Enum):
+    """How a request that may have run ended."""
+
+    SERVED = "served"
+    FAILED = "may have run"
+
+
+@dataclass(frozen=True, slots=True)
+class Intent:
+    """An attempt that may leave once this is durable."""
+
+    attempt: int  # counts from 0
+    engine: bytes
+    birth_us: int  # when the engine's process was born, as its list says; 0 for the first one
+    wire: str  # "http" or "mysql"
+    name: str  # what an HTTP engine knows the query by
+    thread: int  # the MySQL server's number of the connection; 0 on HTTP
+    at_us: int
+    deadline_us: int
+
+
+@dataclass(slots=True, eq=False)
+class Entry:
+    """What is known under a key."""
+
+    key: bytes
+    digest: bytes
+    named: bool  # whether a client may come back under the key; else it is forgotten with its end
+    phase: Phase = Phase.TAKEN
+    intent: Intent | None = None
+    written: bool = False  # the store holds a record of it, or is about to
+    left: bool = False  # an attempt was allowed to leave and has not been proven unrun
+    fate: Fate | None = None
+    answer_bytes: int = -1  # of the answer that is kept; -1: none is
+    told: bool = False  # a client was there when it ended, or has come back since
+    at_us: int = 0  # of the last change
+
+
+class Verdict(Enum):
+    """What a request under a key gets."""
+
+    NEW = "new"  # it may run
+    ATTACH = "attach"  # one runs: wait for its end
+    AGAIN = "again"  # it was served: the same answer
+    ANSWER_GONE = "answer gone"  # it was served, and its answer was too long to be kept
+    MAY_HAVE_RUN = "may have run"  # failed; never again
+    CONFLICT = "conflict"  # the key belongs to another statement or tenant
+    NO_ROOM = "no room"  # more keys are held than may be
+
+
+@dataclass(frozen=True, slots=True)
+class Keeping:
+    """Limits, from the configuration."""
+
+    retention_us: int = 24 * 3600 * 1_000_000  # for which a key is held after its end
+    most_answer_bytes: int = 64 * 1024  # the longest answer that is kept for a repeat
+    most_keys: int = 1_000_000
+
+
+class Ledger:
+    """All keys. Each method that changes what must be durable returns the changes for the store."""
+
+    def __init__(self, keeping: Keeping | None = None) -> None:
+        self.keeping = keeping or Keeping()
+        self.entries: dict[bytes, Entry] = {}
+        self._ended: dict[bytes, int] = {}  # when, oldest first, so that the old are found without a search
+        self._now = 0
+
+    def time(self, now: int) -> int:
+        """The ledger's time: it stands still while the clock is behind what was seen before."""
+        self._now = max(self._now, now)
+        return self._now
+
+    # Requests
+
+    def ask(self, key: bytes, digest: bytes, named: bool, now: int) -> Verdict:
+        """What a request under ``key`` gets; ``NEW`` takes the key."""
+        entry = self.entries.get(key)
+        if entry is None:
+            if len(self.entries) >= self.keeping.most_keys:
+                return Verdict.NO_ROOM
+            self.entries[key] = Entry(key, digest, named, at_us=self.time(now))
+            return Verdict.NEW
+        if entry.digest != digest:
+            return Verdict.CONFLICT
+        if entry.phase is not Phase.ENDED:
+            return Verdict.ATTACH
+        if entry.fate is Fate.FAILED:
+            return Verdict.MAY_HAVE_RUN
+        return Verdict.AGAIN if entry.answer_bytes >= 0 else Verdict.ANSWER_GONE
+
+    def intend(self, entry: Entry, intent: Intent, now: int) -> list[Change]:
+        """Before an attempt leaves. It may do so once the changes are durable and ``leaves`` allows it."""
+        if entry.phase is Phase.ENDED or entry.left:
+            raise ValueError("an attempt may still run, or its request is over")
+        entry.phase, entry.intent, entry.written = Phase.RUNNING, intent, True
+        entry.at_us = self.time(now)
+        return [self._record(entry)]
+
+    def leaves(self, entry: Entry, attempt: int) -> bool:
+        """The intent of an attempt is durable: whether it may leave now. False where it was given up."""
+        allowed = (entry.phase is Phase.RUNNING and entry.intent is not None
+                   and entry.intent.attempt == attempt and self.entries.get(entry.key) is entry)
+        entry.left = entry.left or allowed
+        return allowed
+
+    def unrun(self, entry: Entry, attempt: int) -> None:
+        """An attempt ended that is proven not to have run, or that never left."""
+        if entry.phase is Phase.RUNNING and entry.intent is not None and entry.intent.attempt == attempt:
+            entry.left = False
+
+    def serve(self, entry: Entry, answer: bytes, told: bool, now: int) -> list[Change]:
+        """It was served. Also where a client was told before that it may have run: now more is known."""
+        if not self._end(entry, Fate.SERVED, told, now):
+            return []
+        if not entry.named:
+            return self.forget(entry)
+        keep = len(answer) <= self.keeping.most_answer_bytes
+        entry.answer_bytes = len(answer) if keep else -1
+        kept = [(ANSWER + entry.key, answer)] if keep else []
+        return [*kept, self._record(entry)]
+
+    def fail(self, entry: Entry, told: bool, now: int) -> list[Change]:
+        """It ended without an answer: held as one that may have run if an attempt has left, else free."""
+        if entry.phase is Phase.ENDED:
+            return []
+        if not entry.left or not entry.named:
+            return self.forget(entry)
+        self._end(entry, Fate.FAILED, told, now)
+        return [self._record(entry)]
+
+    def refuse(self, entry: Entry) -> list[Change]:
+        """It was refused, as nothing ran: its key is free again. One that may have run is never refused."""
+        if entry.left:
+            raise ValueError("a request that may have run is never refused")
+        return [] if entry.phase is Phase.ENDED else self.forget(entry)
+
+    def tell(self, entry: Entry) -> list[Change]:
+        """A client that came back was told its end."""
+        if entry.told or entry.phase is not Phase.ENDED:
+            return []
+        entry.told = True
+        return [self._record(entry)]
+
+    def forget(self, entry: Entry) -> list[Change]:
+        """Free a key."""
+        if self.entries.get(entry.key) is not entry:
+            return []
+        del self.entries[entry.key]
+        self._ended.pop(entry.key, None)
+        entry.phase = Phase.ENDED
+        if not entry.written:
+            return []
+        gone: list[Change] = [(REQUEST + entry.key, None)]
+        return [*gone, (ANSWER + entry.key, None)] if entry.answer_bytes >= 0 else gone
+
+    def expire(self, now: int, most: int = 256) -> list[Change]:
+        """Forget keys that ended longer ago than the retention, at most so many at once."""
+        until, changes = self.time(now) - self.keeping.retention_us, list[Change]()
+        old = list[bytes]()
+        for key, ended in self._ended.items():
+            if ended > until or len(old) >= most:
+                break
+            old.append(key)
+        for key in old:
+            changes += self.forget(self.entries[key])
+        return changes
+
+    def _end(self, entry: Entry, fate: Fate, told: bool, now: int) -> bool:
+        """False where it is held with this fate already, or its key was freed."""
+        if self.entries.get(entry.key) is not entry or entry.fate in (fate, Fate.SERVED):
+            return False
+        entry.phase, entry.fate, entry.told = Phase.ENDED, fate, entry.told or told
+        entry.written, entry.at_us = True, self.time(now)
+        self._ended.pop(entry.key, None)
+        self._ended[entry.key] = entry.at_us
+        return True
+
+    # Records
+
+    @staticmethod
+    def _record(entry: Entry) -> Change:
+        intent = entry.intent
+        value: bytes = msgpack.packb([
+            entry.digest, entry.named, entry.phase.value, entry.fate and entry.fate.value, entry.answer_bytes,
+            entry.told, entry.at_us, intent and [
+                intent.attempt, intent.engine, intent.birth_us, intent.wire, intent.name, intent.thread,
+                intent.at_us, intent.deadline_us]])
+        return REQUEST + entry.key, value
+
+    def load(self, records: Iterable[tuple[bytes, bytes]]) -> list[Entry]:
+        """Take in what a store holds of an earlier life; returns those whose fate is open, oldest first."""
+        found = [read_entry(key, value) for key, value in records if key[:1] == REQUEST]
+        found.sort(key=lambda entry: entry.at_us)
+        for entry in found:
+            self.entries[entry.key] = entry
+            self.time(entry.at_us)
+            if entry.phase is Phase.ENDED:
+                self._ended[entry.key] = entry.at_us
+            else:
+                entry.left = True  # the router died: whether the attempt left can't be known
+        return [entry for entry in found if entry.phase is not Phase.ENDED]
+
+
+def read_entry(key: bytes, value: bytes) -> Entry:
+    """An entry as its record says; ``ValueError`` where it is none of ours."""
+    try:
+        digest, named, phase, fate, answer_bytes, told, at, told_intent = msgpack.unpackb(value)
+        intent = None if told_intent is None else Intent(*told_intent)
+        return Entry(key[1:], digest, named, Phase(phase), intent, True, False, fate and Fate(fate),
+                     answer_bytes, told, at)
+    except (ValueError, TypeError) as problem:
+        raise ValueError(f"the record of {key!r} can't be read: {problem}") from None
--- /dev/null
+++ b/slipbay/ledger/recovery.py
@@ -0,0 +1,108 @@
+"""After a router's death: how the fate of each open intent is to be learned, and what was learned.
+
+No I/O: ``plan`` says whom to ask, ``judge`` what the answer proves. What can't be learned in time may have
+run.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from martenkeel.interface import Outcome
+
+if TYPE_CHECKING:  # what it needs at run time is loaded only where the store is on
+    from slipbay.ledger.life import Entry, Intent
+
+UPTIME_SLACK_US = 2_000_000  # MySQL servers tell their age in whole seconds, and clocks differ a little
+
+
+class Way(Enum):
+    """How to learn the fate of an intent."""
+
+    ASK = "ask"  # the HTTP engine knows the query by its id, if its process is still the one
+    KILL = "kill"  # the MySQL thread must be gone before anything else is said; its fate stays unknown
+    NONE = "none"  # nobody can tell any more
+
+
+@dataclass(frozen=True, slots=True)
+class Known:
+    """What the list says of an engine."""
+
+    birth_us: int
+
+
+def plan(intent: Intent | None, engines: Mapping[bytes, Known]) -> Way:
+    """Whom to ask. An engine that is gone, or born again, knows nothing and runs nothing of it."""
+    if intent is None:
+        return Way.NONE
+    known = engines.get(intent.engine)
+    if intent.wire == "mysql":  # the server itself tells its age
+        return Way.KILL
+    if known is None or known.birth_us != intent.birth_us:
+        return Way.NONE
+    return Way.ASK
+
+
+def same_server(sent_us: int, uptime_s: int, now: int) -> bool:
+    """Whether a MySQL server was up already when an attempt was sent, so that its thread's number is ours.
+
+    In doubt it was not: killing another's thread does harm, and leaving ours alone breaks no promise.
+    """
+    return now - uptime_s * 1_000_000 < sent_us - UPTIME_SLACK_US
+
+
+class Learned(Enum):
+    SERVED = "served"
+    UNRUN = "unrun"
+    MAY_HAVE_RUN = "may have run"
+
+
+def judge(outcome: Outcome) -> Learned:
+    """What an engine's word on an old attempt proves.
+
+    ``CONNECT_FAILED`` proves nothing here: that nobody listens now says nothing of what ran before.
+    """
+    match outcome:
+        case Outcome.OK:
+            return Learned.SERVED
+        case Outcome.FULL | Outcome.MOOT:
+            return Learned.UNRUN
+        case _:
+            return Learned.MAY_HAVE_RUN
+
+
+@dataclass(slots=True)
+class Progress:
+    """Of a recovery: what is open, and until when it may take."""
+
+    entries: list[Entry]
+    until_us: int
+    next: int = 0
+    under_way: int = 0
+
+    def more(self, now: int, most: int) -> list[Entry]:
+        """Those to be looked into now, so that at most ``most`` are under way; none once time is up."""
+        if now >= self.until_us:
+            return []
+        count = min(most - self.under_way, len(self.entries) - self.next)
+        chosen = self.entries[self.next:self.next + count]
+        self.next += len(chosen)
+        self.under_way += len(chosen)
+        return chosen
+
+    def settled(self) -> None:
+        self.under_way -= 1
+
+    def given_up(self, now: int) -> list[Entry]:
+        """Those never looked into, once time is up."""
+        if now < self.until_us:
+            return []
+        left, self.next = self.entries[self.next:], len(self.entries)
+        return left
+
+    @property
+    def over(self) -> bool:
+        return self.next >= len(self.entries) and not self.under_way
--- a/slipbay/wire/mysql.py
+++ b/slipbay/wire/mysql.py
@@ -415,6 +415,16 @@
         return not self._eofs
 
 
+def read_uptime(payloads: list[bytes]) -> int | None:
+    """Seconds since the server began, from its answer to ``SHOW GLOBAL STATUS LIKE 'Uptime'``; None if it
+    gives none."""
+    for payload in payloads[1:]:
+        name, _, value = payload[1:].partition(b"Uptime")
+        if not name and payload[:1] == b"\x06" and value[1:].isdigit():
+            return int(value[1:])
+    return None
+
+
 class PrepareReader:
     """Follows the packets of the answer to a prepare."""
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -9,11 +9,12 @@
 import base64
 import json
 from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 from slipbay.__main__ import Router
-from slipbay.config import Config, from_json, load_mysql
+from slipbay.config import Config, from_json, load_mysql, load_store
 
 HOST = "127.0.0.1"
 TXN = "9b1f03aa5c7e2d41"
@@ -179,8 +180,10 @@
 class Loopback:
     """A router with its engines."""
 
-    def __init__(self, *engines: StandInEngine, mysql_file: Path | None = None) -> None:
+    def __init__(self, *engines: StandInEngine, mysql_file: Path | None = None,
+                 store_file: Path | None = None) -> None:
         self.engines, self.journal, self._mysql_file = engines, StandInJournal(), mysql_file
+        self._store_file = store_file
         self.settings = SETTINGS
 
     def config(self, hosts: list[dict[str, Any]]) -> Config:
@@ -188,10 +191,11 @@
             "name": "n0", "listen": f"{HOST}:0", "seed": "1", "journal": f"{HOST}:{self.journal.port}",
             "limits": {"cores": 1, "memory_mb": 192, "sockets": 1024},
             "known": {"pos": 1, "entries": [event(1, *hosts, whole=True)]}, "settings": self.settings}), {})
-        if self._mysql_file is None:
-            return config
-        from dataclasses import replace
-        return replace(config, mysql=load_mysql(config, self._mysql_file))
+        if self._store_file is not None:
+            config = replace(config, store=load_store(config, self._store_file))
+        if self._mysql_file is not None:
+            config = replace(config, mysql=load_mysql(config, self._mysql_file))
+        return config
 
     async def __aenter__(self) -> Loopback:
         await self.journal.start()
@@ -200,12 +204,18 @@
         hosts = [host(f"s-{number}", engine.port) for number, engine in enumerate(self.engines)]
         self.router = Router(self.config(hosts), asyncio.get_running_loop())
         await self.router.start()
+        if self.router.keeper is not None and self.wait_for_store:
+            await until(lambda: self.router.keeper is not None and self.router.keeper.ready)
         return self
 
+    wait_for_store = True
+
     async def __aexit__(self, *exception: object) -> None:
         for server in [self.journal.server, *(engine.server for engine in self.engines)]:
             server.close()
         self.router.server.leave(0)
+        if self.router.keeper is not None:
+            self.router.keeper.close()
 
     def port(self, number: int = 0) -> int:
         """Where the router listens: JSON-RPC first, then MySQL."""
--- a/tests/mysql_standins.py
+++ b/tests/mysql_standins.py
@@ -73,6 +73,7 @@
         self.prepared: list[bytes] = []
         self.killed: list[int] = []
         self.commands: list[bytes] = []
+        self.uptime_s = 10_000
         self.hold: asyncio.Event | None = None  # executions wait for it
 
     async def start(self) -> None:
@@ -121,6 +122,9 @@
                 await self._run(writer, thread, statement + b"|" + rest[9:])
             elif code == 0x03 and rest.startswith(b"KILL "):
                 self._kill(writer, int(rest[5:]))
+            elif code == 0x03 and b"'Uptime'" in rest:
+                writer.write(numbered(1, b"\2", column("Variable_name"), column("Value"), EOF,
+                                      text("Uptime") + text(str(self.uptime_s)), EOF))
             elif code == 0x03:
                 await self.fault("execute")
                 await self._run(writer, thread, rest)
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -27,6 +27,8 @@
 class Front(RuleBasedStateMachine):
     """What both fronts have in common: a core that the test plays, and a client that reads or does not."""
 
+    guardian = None
+
     def __init__(self) -> None:
         super().__init__()
         self.loop = FakeLoop()
@@ -44,7 +46,7 @@
     def submit(self, request: Request) -> None:
         self.open.append(request)
 
-    def gone(self, request: Request) -> None:
+    def gone(self, request: Request, cancelled: bool = False) -> None:
         self.open.remove(request)
         self.gone_before.append(request)
 
@@ -129,7 +131,7 @@
     def make(self) -> Connection:
         self.waiting = 0
         self.identity = None
-        self.mysql = SimpleNamespace(schema="", most_packet_bytes=1000, idle_us=1, users={
+        self.mysql = SimpleNamespace(schema="", hint="slipbay", most_packet_bytes=1000, idle_us=1, users={
             "office": SimpleNamespace(password=b"", tenant=0)})
         self.core = self
         return MysqlConnection(self.server, self)  # type: ignore[arg-type]
--- a/tests/test_http_exchange.py
+++ b/tests/test_http_exchange.py
@@ -59,6 +59,9 @@
         self.ends.append((outcome, result))
         self.check()
 
+    def permit(self, wire: str, thread: int, go: Callable[[], None]) -> None:
+        go()
+
     def noted(self, kind: object, value: float) -> None:
         assert not self.ends
         self.notes += 1
--- /dev/null
+++ b/tests/test_keeper.py
@@ -0,0 +1,348 @@
+"""Loads with the store on, over sockets: repeats, clients cut off, a slow or failing disk, restarts."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import threading
+from pathlib import Path
+from typing import Any
+
+import pytest
+from loopback import HttpCall, JsonClient, Loopback, StandInEngine, http_answer, one_page, run, until
+from mysql_standins import MysqlClient, MysqlEngine, MysqlError, mysql_file
+from routers import RouterProcess, store_file
+from sim_disk import SimDisk
+
+import slipbay.core.keeper
+from slipbay.store.disk import Folder
+from slipbay.store.inspect import survey
+
+TXN = "00000000000000aa"
+
+
+class Held(StandInEngine):
+    """Loads wait until they are let go; other statements are answered at once."""
+
+    def __init__(self) -> None:
+        super().__init__(self._answer)
+        self.free = asyncio.Event()
+
+    def loads(self) -> int:
+        return sum(call.headers["x-sort"] == "ticket-load" for call in self.named("POST"))
+
+    async def _answer(self, call: HttpCall, writer: asyncio.StreamWriter) -> bytes | None:
+        if call.method == "POST" and call.headers["x-sort"] != "ticket-load":
+            return await one_page(call, writer)
+        if call.method in ("POST", "GET") and not self.free.is_set():
+            try:
+                await asyncio.wait_for(self.free.wait(), 0.2)
+            except TimeoutError:
+                return http_answer(202)
+        return await one_page(call, writer)
+
+
+async def load(client: JsonClient, txn: str = TXN, sql: str = "INSERT INTO sales_1.t VALUES (1)",
+               **more: Any) -> dict[str, Any]:
+    client.query("ticket-load", sql, **{"txn": txn, "limit": 5000, **more})
+    return await client.answer()
+
+
+def test_a_repeat_gets_the_same_answer_and_runs_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        engine = StandInEngine()
+        async with Loopback(engine, store_file=store_file(tmp_path)) as net:
+            first = await load(await net.client())
+            again = await load(await net.client())
+            assert first["result"] == again["result"] and len(engine.named("POST")) == 1
+            other = await load(await net.client(), sql="DELETE FROM sales_1.t")
+            assert other["error"]["code"] == -32602 and "another statement" in other["error"]["message"]
+            team = await load(await net.client(), team="tokachi-oil")
+            assert team["error"]["code"] == -32602
+            client = await net.client()
+            client.query("lookup", txn=TXN)  # engines know queries by it alone
+            assert (await client.answer())["error"]["message"] == "txn has been used"
+            assert len(engine.named("POST")) == 1
+
+    run(test)
+
+
+def test_one_that_comes_back_while_it_runs_waits_for_the_same_end(tmp_path: Path) -> None:
+    """The device that lost its connection: its load runs on, and whoever repeats it gets its answer."""
+    async def test() -> None:
+        engine = Held()
+        async with Loopback(engine, store_file=store_file(tmp_path)) as net:
+            lost, back, third = await net.client(), await net.client(), await net.client()
+            lost.query("ticket-load", "INSERT INTO sales_1.t VALUES (1)", txn=TXN, limit=5000)
+            await until(lambda: bool(engine.named("POST")))
+            lost.writer.transport.abort()
+            for client in (back, third):
+                client.query("ticket-load", "INSERT INTO sales_1.t VALUES (1)", txn=TXN, limit=5000)
+            client = await net.client()
+            client.query("lookup")
+            assert "result" in await client.answer()
+            engine.free.set()
+            answers = [await client.answer() for client in (back, third)]
+            assert all("result" in answer for answer in answers)
+            assert [call.path for call in engine.calls if call.method == "DELETE"] == []
+            assert engine.loads() == 1
+
+    run(test)
+
+
+def test_one_called_off_ends_with_the_last_who_wanted_it(tmp_path: Path) -> None:
+    async def test() -> None:
+        engine = Held()
+        async with Loopback(engine, store_file=store_file(tmp_path)) as net:
+            first, second = await net.client(), await net.client()
+            ids = []
+            for client in (first, second):
+                ids.append(client.query("ticket-load", "INSERT INTO sales_1.t VALUES (1)", txn=TXN,
+                                        limit=5000))
+                await until(lambda: bool(engine.named("POST")))
+            await until(lambda: len(net.router.core.guardian._waiters.get(b"json:" + TXN.encode(), [])) == 1)  # type: ignore[union-attr]
+            first.cancel(ids[0])
+            await load(first, "00000000000000ab", limit=0)  # its answer comes after the cancel was heard
+            assert engine.named("DELETE") == []
+            second.cancel(ids[1])
+            await until(lambda: bool(engine.named("DELETE")))
+            answer = await load(first)
+            assert answer["error"]["code"] == -32000 and "may have run" in answer["error"]["message"]
+            assert len(engine.named("POST")) == 1
+
+    run(test)
+
+
+def test_a_waiter_has_its_own_deadline(tmp_path: Path) -> None:
+    async def test() -> None:
+        engine = Held()
+        async with Loopback(engine, store_file=store_file(tmp_path)) as net:
+            first, second = await net.client(), await net.client()
+            first.query("ticket-load", "INSERT INTO sales_1.t VALUES (1)", txn=TXN, limit=5000)
+            await until(lambda: bool(engine.named("POST")))
+            answer = await load(second, limit=100)
+            assert "deadline has passed" in answer["error"]["message"]
+            engine.free.set()
+            assert "result" in await first.answer()
+
+    run(test)
+
+
+class SlowDisk(SimDisk):
+    """Its syncs wait while it is shut, and its writes fail while it is dead."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.open, self.dead = threading.Event(), False
+        self.open.set()
+        self.faults = self._fault
+
+    def _fault(self, what: str, name: str, size: int) -> int:
+        if self.dead and what != "read":
+            raise OSError(errno.ENOSPC, "No space left on device")
+        if what == "sync":
+            assert self.open.wait(30)
+        return size
+
+
+@pytest.fixture
+def disk(monkeypatch: pytest.MonkeyPatch) -> SlowDisk:
+    slow = SlowDisk()
+    monkeypatch.setattr(slipbay.core.keeper, "Folder", lambda path: slow)
+    return slow
+
+
+def test_nothing_leaves_before_its_intent_is_durable(tmp_path: Path, disk: SlowDisk) -> None:
+    async def test() -> None:
+        engine = StandInEngine()
+        async with Loopback(engine, store_file=store_file(tmp_path)) as net:
+            disk.open.clear()
+            client = await net.client()
+            client.query("ticket-load", "INSERT INTO sales_1.t VALUES (1)", txn=TXN, limit=5000)
+            other = await net.client()
+            for _ in range(20):  # lookups are not touched
+                other.query("lookup")
+                assert "result" in await other.answer()
+            assert all(call.headers["x-sort"] == "lookup" for call in engine.named("POST"))
+            disk.open.set()
+            assert "result" in await client.answer()
+
+    run(test)
+
+
+def test_while_the_disk_stalls_loads_are_answered_in_time_and_never_sent_late(
+        tmp_path: Path, disk: SlowDisk) -> None:
+    async def test() -> None:
+        engine = StandInEngine()
+        async with Loopback(engine, store_file=store_file(tmp_path)) as net:
+            disk.open.clear()
+            client = await net.client()
+            answer = await load(client, limit=300)
+            assert answer["error"]["code"] in (-32000, -32002)
+            disk.open.set()
+            assert "result" in await load(client, "00000000000000ab")  # behind all that waited
+            assert [call.headers["x-hop-id"] for call in engine.named("POST")] == ["00000000000000ab"]
+            assert "result" in await load(client)  # the first never left: its key is free
+
+    run(test)
+
+
+def test_while_the_disk_fails_loads_are_refused_with_a_time_to_return(tmp_path: Path, disk: SlowDisk) -> None:
+    async def test() -> None:
+        engine = StandInEngine()
+        file = store_file(tmp_path, later_ms="700", commit="{ retry_ms = 1 }")
+        async with Loopback(engine, store_file=file) as net:
+            client = await net.client()
+            disk.dead = True
+            for _ in range(3):
+                answer = await load(client)
+                assert answer["error"]["code"] == -32002 and answer["error"]["data"]["later"] == 700
+            client.query("lookup")
+            assert "result" in await client.answer()
+            disk.dead = False
+            keeper = net.router.keeper
+            await until(lambda: keeper is not None and keeper.ready)
+            assert "result" in await load(client)
+            assert len(engine.named("POST")) == 2
+
+    run(test)
+
+
+def test_where_the_file_says_so_a_failing_disk_ends_the_router(tmp_path: Path, disk: SlowDisk) -> None:
+    async def test() -> None:
+        file = store_file(tmp_path, when_it_cannot_write='"stop"')
+        async with Loopback(StandInEngine(), store_file=file) as net:
+            client = await net.client()
+            disk.dead = True
+            assert (await load(client))["error"]["code"] == -32002
+            await net.router.done.wait()
+
+    run(test)
+
+
+def test_a_store_that_cannot_be_opened_stops_loads_alone(tmp_path: Path) -> None:
+    async def test() -> None:
+        file = store_file(tmp_path)
+        (tmp_path / "data").mkdir()
+        (tmp_path / "data" / "MANIFEST").write_bytes(b"spoilt")
+        net = Loopback(StandInEngine(), store_file=file)
+        net.wait_for_store = False
+        async with net:
+            client = await net.client()
+            answer = await load(client)  # a refusal would promise that it has not run
+            assert answer["error"]["code"] == -32000 and "cannot be read" in answer["error"]["message"]
+            client.query("lookup")
+            assert "result" in await client.answer()
+        assert (tmp_path / "data" / "MANIFEST").read_bytes() == b"spoilt"
+
+    run(test)
+
+
+# MySQL
+
+
+LOAD = "/* slipbay: key=k1 */ INSERT INTO sales_1.t VALUES (1)"
+
+
+def test_a_key_in_a_hint_makes_a_repeat_safe(tmp_path: Path) -> None:
+    async def test() -> None:
+        engine = MysqlEngine()
+        await engine.start()
+        async with Loopback(StandInEngine(), mysql_file=mysql_file(tmp_path, engine),
+                            store_file=store_file(tmp_path)) as net:
+            clients = [await MysqlClient.connect(net.port(1)) for _ in range(2)]
+            assert [await client.query(LOAD) for client in clients] == [[bytes([100]) + b"x" * 100]] * 2
+            assert engine.executed == {LOAD.encode(): 1}
+            with pytest.raises(MysqlError) as problem:
+                await clients[0].query(LOAD.replace("(1)", "(2)"))
+            assert problem.value.code == 1210 and "another statement" in problem.value.text
+            with pytest.raises(MysqlError) as problem:
+                await clients[0].query(LOAD.replace("k1", "k" * 201))
+            assert problem.value.code == 1210
+            for _ in range(2):  # without a key each is its own
+                await clients[0].query("INSERT INTO sales_1.t VALUES (3)")
+            assert engine.executed[b"INSERT INTO sales_1.t VALUES (3)"] == 2
+            engine.server.close()
+
+    run(test)
+
+
+# Over the death of a process
+
+
+def test_a_killed_router_asks_its_engine_and_gives_the_answer_it_learns(tmp_path: Path) -> None:
+    async def test() -> None:
+        store_file(tmp_path)
+        engine = Held()
+        await engine.start()
+        router = RouterProcess(tmp_path, {"s-0": engine.port})
+        await router.start()
+        await router.read.wait()
+        client = JsonClient(*await asyncio.open_connection("127.0.0.1", router.ports[0]))
+        client.query("ticket-load", "INSERT INTO sales_1.t VALUES (1)", txn=TXN, limit=5000)
+        await until(lambda: bool(engine.named("POST")))
+        await router.kill()
+        await router.start()
+        await router.read.wait()
+        client = JsonClient(*await asyncio.open_connection("127.0.0.1", router.ports[0]))
+        client.query("ticket-load", "INSERT INTO sales_1.t VALUES (1)", txn=TXN, limit=5000)
+        other = JsonClient(*await asyncio.open_connection("127.0.0.1", router.ports[0]))
+        refused = await load(other, "00000000000000ab")  # new ones wait for the recovery's end
+        assert refused["error"]["code"] == -32002 and refused["error"]["data"]["later"] == 1000
+        other.query("lookup")
+        assert "result" in await other.answer()
+        engine.free.set()
+        assert "result" in await client.answer()
+        assert engine.loads() == 1
+        assert await router.end() == 0
+        assert survey(Folder(tmp_path / "data")).code == 0
+        engine.server.close()
+
+    run(test)
+
+
+def test_a_killed_router_ends_its_mysql_thread_before_it_takes_loads(tmp_path: Path) -> None:
+    async def test() -> None:
+        store_file(tmp_path)
+        http, engine = StandInEngine(), MysqlEngine()
+        engine.hold = asyncio.Event()
+        await http.start()
+        await engine.start()
+        router = RouterProcess(tmp_path, {"s-0": http.port}, mysql_file(tmp_path, engine))
+        await router.start()
+        await router.read.wait()
+        client = await MysqlClient.connect(router.ports[1])
+        client.command(0x03, LOAD.encode())
+        await until(lambda: bool(engine.running))
+        thread = next(iter(engine.running))
+        await router.kill()
+        engine.uptime_s = 0  # another server, by its age: its threads are not ours
+        await router.start()
+        await router.read.wait()
+        again = await MysqlClient.connect(router.ports[1])
+        with pytest.raises(MysqlError) as problem:
+            await again.query(LOAD)
+        assert "may have run" in problem.value.text and engine.killed == []
+        await router.kill()
+        assert engine.executed[LOAD.encode()] == 1
+        engine.uptime_s = 10_000
+        other = LOAD.replace("k1", "k2")
+        await router.start()
+        await router.read.wait()
+        client = await MysqlClient.connect(router.ports[1])
+        client.command(0x03, other.encode())
+        await until(lambda: len(engine.running) == 2)
+        second = next(number for number in engine.running if number != thread)
+        await router.kill()
+        await router.start()
+        await router.read.wait()
+        again = await MysqlClient.connect(router.ports[1])
+        with pytest.raises(MysqlError) as problem:
+            await again.query(other)
+        assert "may have run" in problem.value.text and engine.killed == [second]
+        assert engine.executed[other.encode()] == 1
+        assert await router.end() == 0
+        http.server.close()
+        engine.server.close()
+
+    run(test)
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,348 @@
+"""The ledger and its companions, without I/O: lives of requests under crashes, recovery, the ration."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+from helpers import SECOND, Gateway, engine, sends, settings
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from martenkeel import interface as api
+from martenkeel.interface import Outcome, Remembered
+from slipbay.ledger import recovery, tally
+from slipbay.ledger.digest import digest
+from slipbay.ledger.life import ANSWER, Change, Entry, Fate, Intent, Keeping, Ledger, Phase, Verdict
+from slipbay.ledger.recovery import Known, Learned, Progress, Way
+
+ONE, OTHER = digest(b"one"), digest(b"other")
+
+
+def intent(attempt: int = 0, at: int = 0, wire: str = "http", thread: int = 0) -> Intent:
+    return Intent(attempt, b"s-1", 5, wire, "9b1f", thread, at, at + SECOND)
+
+
+def apply(store: dict[bytes, bytes], changes: list[Change]) -> None:
+    for key, value in changes:
+        if value is None:
+            store.pop(key, None)
+        else:
+            store[key] = value
+
+
+KEYS = st.sampled_from([b"a", b"b"])
+
+
+class Lives(RuleBasedStateMachine):
+    """Clients repeat two keys; attempts leave, run or not, end or are never heard of; the router dies.
+
+    The store keeps any prefix of the changes appended that holds all those told as durable.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.ledger, self.now = Ledger(Keeping(retention_us=100)), 0
+        self.log: list[Change] = []  # appended
+        self.acked = 0  # of them durable for certain
+        self.gates: list[tuple[Entry, int, int]] = []  # entry, attempt, length of the log once it is durable
+        self.runs: Counter[bytes] = Counter()  # real executions, by key, since the key was last free
+        self.out: dict[bytes, bool] = {}  # attempts that left, and whether the engine ran them
+        self.attempts: Counter[bytes] = Counter()
+        self.answers: dict[bytes, bytes] = {}
+        self.refused: set[bytes] = set()
+
+    def append(self, changes: list[Change]) -> None:
+        self.log += changes
+
+    @rule(key=KEYS, other=st.booleans())
+    def a_client_asks(self, key: bytes, other: bool) -> None:
+        entry = self.ledger.entries.get(key)
+        verdict = self.ledger.ask(key, OTHER if other else ONE, True, self.now)
+        if entry is not None and entry.digest != (OTHER if other else ONE):
+            assert verdict is Verdict.CONFLICT
+        elif verdict is Verdict.NEW:
+            assert entry is None
+            self.attempts[key] = 0
+        elif verdict is Verdict.AGAIN:
+            assert self.answers[key] == self.stored()[ANSWER + key] and self.runs[key] == 1
+
+    def stored(self) -> dict[bytes, bytes]:
+        store: dict[bytes, bytes] = {}
+        apply(store, self.log)
+        return store
+
+    @rule(key=KEYS)
+    def an_attempt_is_decided(self, key: bytes) -> None:
+        entry = self.ledger.entries.get(key)
+        if entry is not None and entry.phase is not Phase.ENDED and not entry.left and all(
+                gate[0] is not entry for gate in self.gates):
+            self.append(self.ledger.intend(entry, intent(self.attempts[key], self.now), self.now))
+            self.gates.append((entry, self.attempts[key], len(self.log)))
+            self.attempts[key] += 1
+
+    @rule(count=st.integers(1, 5))
+    def the_disk_syncs(self, count: int) -> None:
+        self.acked = min(len(self.log), self.acked + count)
+        for gate in [gate for gate in self.gates if gate[2] <= self.acked]:
+            self.gates.remove(gate)
+            if self.ledger.leaves(gate[0], gate[1]):
+                assert gate[0].key not in self.out
+                self.out[gate[0].key] = False
+
+    @precondition(lambda self: self.out)
+    @rule(data=st.data())
+    def an_engine_runs_it(self, data: st.DataObject) -> None:
+        key = data.draw(st.sampled_from(sorted(self.out)))
+        if not self.out[key]:
+            self.out[key] = True
+            self.runs[key] += 1
+
+    @precondition(lambda self: self.out)
+    @rule(data=st.data(), told=st.booleans())
+    def an_attempt_ends(self, data: st.DataObject, told: bool) -> None:
+        key = data.draw(st.sampled_from(sorted(self.out)))
+        entry = self.ledger.entries[key]
+        assert entry.intent is not None
+        if self.out.pop(key):
+            self.answers[key] = b"answer %d" % self.now
+            self.append(self.ledger.serve(entry, self.answers[key], told, self.now))
+        else:
+            self.ledger.unrun(entry, entry.intent.attempt)
+
+    @rule(key=KEYS, refuse=st.booleans())
+    def a_client_is_answered(self, key: bytes, refuse: bool) -> None:
+        entry = self.ledger.entries.get(key)
+        if entry is None or entry.phase is Phase.ENDED:
+            return
+        if refuse and not entry.left:
+            assert not self.runs[key]
+            self.append(self.ledger.refuse(entry))
+        else:
+            self.append(self.ledger.fail(entry, True, self.now))
+
+    @rule(us=st.integers(1, 40))
+    def time_passes(self, us: int) -> None:
+        self.now += us
+        before = dict(self.ledger.entries)
+        self.append(self.ledger.expire(self.now))
+        for key in before.keys() - self.ledger.entries.keys():  # the retention is over: all may begin anew
+            assert before[key].at_us <= self.now - 100
+            self.runs[key] = 0
+            self.out.pop(key, None)
+
+    @rule(lost=st.integers(0, 20), clock_back=st.integers(0, 60))
+    def the_router_dies(self, lost: int, clock_back: int) -> None:
+        self.log = self.log[:max(self.acked, len(self.log) - lost)]
+        self.acked = len(self.log)
+        store = self.stored()
+        self.now = max(0, self.now - clock_back)
+        self.gates, ledger = [], Ledger(Keeping(retention_us=100))
+        for entry in ledger.load(store.items()):
+            self.attempts[entry.key] = 9
+            ran, known = self.out.get(entry.key), self.now % 2  # the engine may or may not still know
+            if ran and known:
+                self.answers[entry.key] = b"learned"
+                self.append(ledger.serve(entry, b"learned", False, self.now))
+            else:
+                self.append(ledger.fail(entry, False, self.now))
+        self.ledger, self.out = ledger, {}
+        self.acked = len(self.log)
+
+    @invariant()
+    def nothing_runs_twice(self) -> None:
+        assert all(count <= 1 for count in self.runs.values())
+
+    @invariant()
+    def what_may_run_or_ran_is_held(self) -> None:
+        for key in {key for key, count in self.runs.items() if count} | self.out.keys():
+            assert key in self.ledger.entries
+
+
+Lives.TestCase.settings = hypothesis_settings(
+    max_examples=200, stateful_step_count=40, deadline=None, derandomize=True)
+TestLives = Lives.TestCase
+
+
+def ended(keeping: Keeping | None = None, answer: bytes = b"rows") -> tuple[Ledger, dict[bytes, bytes]]:
+    ledger, store = Ledger(keeping), dict[bytes, bytes]()
+    assert ledger.ask(b"k", ONE, True, 0) is Verdict.NEW
+    entry = ledger.entries[b"k"]
+    apply(store, ledger.intend(entry, intent(), 1))
+    assert ledger.leaves(entry, 0)
+    apply(store, ledger.serve(entry, answer, True, 2))
+    return ledger, store
+
+
+def test_an_answer_is_kept_up_to_its_size_and_found_after_a_restart() -> None:
+    ledger, store = ended()
+    assert ledger.ask(b"k", ONE, True, 3) is Verdict.AGAIN and store[ANSWER + b"k"] == b"rows"
+    again = Ledger()
+    assert again.load(store.items()) == [] and again.ask(b"k", ONE, True, 3) is Verdict.AGAIN
+    assert again.ask(b"k", OTHER, True, 3) is Verdict.CONFLICT
+    ledger, store = ended(Keeping(most_answer_bytes=3))
+    assert ledger.ask(b"k", ONE, True, 3) is Verdict.ANSWER_GONE and ANSWER + b"k" not in store
+
+
+def test_keys_are_forgotten_after_the_retention_and_never_before_when_the_clock_jumps_back() -> None:
+    ledger, store = ended(Keeping(retention_us=100))
+    assert ledger.expire(101) == [] and ledger.expire(50) == []
+    again = Ledger(Keeping(retention_us=100))
+    again.load(store.items())
+    assert again.expire(1) == [] and again.time(1) == 2  # it starts where the records end
+    changes = again.expire(102)
+    assert {key for key, _ in changes} == set(store) and all(value is None for _, value in changes)
+    assert again.ask(b"k", ONE, True, 103) is Verdict.NEW
+
+
+def test_an_answer_that_comes_after_the_client_was_told_of_failure_is_kept() -> None:
+    ledger, _ = ended()
+    ledger.ask(b"late", ONE, True, 0)
+    entry = ledger.entries[b"late"]
+    ledger.intend(entry, intent(), 1)
+    assert ledger.leaves(entry, 0)
+    ledger.fail(entry, True, 2)
+    assert ledger.ask(b"late", ONE, True, 3) is Verdict.MAY_HAVE_RUN
+    assert ledger.serve(entry, b"rows", False, 4)
+    assert ledger.ask(b"late", ONE, True, 5) is Verdict.AGAIN and entry.told
+    assert ledger.serve(entry, b"others", False, 6) == [] and ledger.fail(entry, True, 6) == []
+
+
+def test_an_intent_that_is_given_up_before_it_is_durable_lets_nothing_leave() -> None:
+    ledger, store = Ledger(), dict[bytes, bytes]()
+    ledger.ask(b"k", ONE, True, 0)
+    entry = ledger.entries[b"k"]
+    apply(store, ledger.intend(entry, intent(), 1))
+    apply(store, ledger.fail(entry, True, 2))
+    assert not ledger.leaves(entry, 0) and not store and not ledger.entries
+    with pytest.raises(ValueError):
+        ledger.intend(entry, intent(1), 3)
+
+
+def test_one_that_may_have_run_is_neither_refused_nor_sent_again() -> None:
+    ledger = Ledger()
+    ledger.ask(b"k", ONE, True, 0)
+    entry = ledger.entries[b"k"]
+    ledger.intend(entry, intent(), 1)
+    ledger.leaves(entry, 0)
+    with pytest.raises(ValueError):
+        ledger.refuse(entry)
+    with pytest.raises(ValueError):
+        ledger.intend(entry, intent(1), 2)
+    ledger.unrun(entry, 0)
+    assert ledger.intend(entry, intent(1), 2) and ledger.refuse(entry) == [(b"rk", None)]
+
+
+def test_keys_are_bounded_and_nameless_ones_forgotten_with_their_end() -> None:
+    ledger = Ledger(Keeping(most_keys=2))
+    assert [ledger.ask(key, ONE, key != b"x", 0) for key in (b"a", b"x", b"c")] == [
+        Verdict.NEW, Verdict.NEW, Verdict.NO_ROOM]
+    entry = ledger.entries[b"x"]
+    ledger.intend(entry, intent(), 0)
+    ledger.leaves(entry, 0)
+    assert ledger.fail(entry, True, 1) == [(b"rx", None)] and b"x" not in ledger.entries
+
+
+def test_records_that_are_none_of_ours_are_told() -> None:
+    with pytest.raises(ValueError, match="can't be read"):
+        Ledger().load([(b"rk", b"\x01")])
+    with pytest.raises(ValueError, match="can't be read"):
+        tally.read(b"\xc0", 0)
+
+
+# Recovery
+
+
+def test_a_plan_asks_only_the_process_that_can_know() -> None:
+    engines = {b"s-1": Known(5)}
+    assert recovery.plan(intent(), engines) is Way.ASK
+    assert recovery.plan(intent(), {b"s-1": Known(6)}) is Way.NONE
+    assert recovery.plan(intent(), {}) is Way.NONE and recovery.plan(None, engines) is Way.NONE
+    assert recovery.plan(intent(wire="mysql", thread=3), {}) is Way.KILL
+
+
+def test_an_engine_s_word_proves_no_more_than_it_says() -> None:
+    learned = {outcome: recovery.judge(outcome) for outcome in Outcome}
+    assert {outcome for outcome, what in learned.items() if what is Learned.SERVED} == {Outcome.OK}
+    assert {outcome for outcome, what in learned.items() if what is Learned.UNRUN} == {
+        Outcome.FULL, Outcome.MOOT}
+
+
+def test_a_younger_server_s_threads_are_not_ours() -> None:
+    now = 1000 * SECOND
+    assert recovery.same_server(990 * SECOND, 100, now)
+    assert not recovery.same_server(990 * SECOND, 5, now)
+    assert not recovery.same_server(990 * SECOND, 11, now)  # in doubt it is another
+
+
+def test_a_recovery_ends_in_time_and_asks_few_at_once() -> None:
+    entries = [Entry(b"%d" % n, ONE, True) for n in range(5)]
+    progress = Progress(entries, until_us=100)
+    assert progress.more(0, 2) == entries[:2] and progress.more(0, 2) == []
+    progress.settled()
+    assert progress.more(50, 2) == entries[2:3] and progress.given_up(50) == []
+    assert progress.more(100, 9) == [] and progress.given_up(100) == entries[3:]
+    progress.settled()
+    assert not progress.over
+    progress.settled()
+    assert progress.over
+
+
+# The ration
+
+
+RATIONED = replace(settings(), extra_free=2.0, extra_share=0.2, extra_window_us=10 * SECOND)
+
+
+def retries(gateway: Gateway, queries: range) -> int:
+    """Queries whose first attempt is turned away by a full engine; how many got another."""
+    count = 0
+    for number in queries:
+        first, = sends(gateway.ask(number))
+        for further in sends(gateway.end(first, Outcome.FULL)):
+            count += 1
+            gateway.end(further, Outcome.OK, attempt=1)
+    return count
+
+
+def test_a_ration_spent_before_two_deaths_is_not_to_be_had_again() -> None:
+    """Rule 7: without the record each life would begin with the whole ration."""
+    first = Gateway(RATIONED)
+    spent = retries(first, range(5))
+    assert spent == 3  # two, and a fifth of five
+    fresh = Gateway(RATIONED)
+    assert retries(fresh, range(5)) == 3
+    memory = tally.write(first.controller.memory())
+    for _ in range(2):  # two quick deaths
+        later = Gateway(RATIONED)
+        later.now += SECOND
+        later.tell(tally.read(memory, later.now))
+        assert retries(later, range(5)) == 0
+        memory = tally.write(later.controller.memory())
+    later.wait(later.now + 11 * SECOND)
+    assert retries(later, range(100, 102)) == 2
+
+
+def test_what_is_read_back_errs_on_the_side_of_having_spent_more() -> None:
+    memory = Remembered(((100, 1.0), (200, 1.0)), ((100, 1.0),))
+    told = tally.read(tally.write(memory), 150)
+    assert told.taken == ((0, 2.0),) and told.extras == ((150, 1.0 + tally.SPARE_EXTRAS),)
+    assert tally.read(tally.write(Remembered()), 0) == Remembered()
+
+
+def test_remembered_amounts_are_told_in_any_order() -> None:
+    gateway = Gateway(RATIONED, [api.EngineEntry(engine(1))])
+    gateway.ask(1)
+    gateway.tell(Remembered(((gateway.now - SECOND, 3.0),), ()))
+    times = [at for at, _ in gateway.controller.taken.items]
+    assert times == sorted(times) and gateway.controller.taken.since(-1) == 4.0
+
+
+def test_an_entry_reads_back_as_it_was_written() -> None:
+    ledger, store = ended()
+    found = Ledger()
+    found.load(store.items())
+    entry = found.entries[b"k"]
+    assert (entry.fate, entry.answer_bytes, entry.told, entry.intent) == (Fate.SERVED, 4, True, intent())
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -328,7 +328,7 @@
 def test_requests_over_the_limit_are_refused() -> None:
     async def test() -> None:
         async with Loopback(StandInEngine()) as net:
-            net.router.core._max_bytes = 10
+            net.router.core.max_bytes = 10
             client = await net.client()
             client.query(sql="SELECT 1234567890")
             assert (await client.answer())["error"] == {
