--- a/slipbay/__main__.py
+++ b/slipbay/__main__.py
@@ -1,4 +1,4 @@
-"""Starts a router, and ends it: ``python -m slipbay``."""
+"""Starts a router, and ends it: ``python -m slipbay``, or ``slipbay serve``."""
 
 from __future__ import annotations
 
@@ -151,7 +151,8 @@
         router.keeper.close()
 
 
-def main() -> int:
+def serve_until_end() -> int:
+    """Run a router; the exit code is 0 after SIGTERM, 2 for a bad configuration, 1 where it can't start."""
     try:
         config = load(os.environ)
         asyncio.run(serve(config))
@@ -164,5 +165,14 @@
     return 0
 
 
+def main() -> int:
+    """Without arguments a router is run, and the command line, which a router has no use for, not loaded."""
+    if len(sys.argv) == 1:
+        return serve_until_end()
+    from slipbay.cli import main as command_line
+    command_line(prog_name="slipbay")
+    return 0
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/slipbay/back/http.py
+++ b/slipbay/back/http.py
@@ -65,7 +65,7 @@
         try:
             response = self._responses.feed(data)
         except http1.MalformedResponse as problem:
-            log("engine", f"{problem}; the connection is closed")
+            log("engine", f"{problem}; the connection is closed", engine=self.pool.engine)
             self.abort()
             return
         responded = self._responded
@@ -190,7 +190,8 @@
 
     def _responded(self, connection: HttpConnection, response: http1.Response) -> None:
         if self._spoilt(response):
-            log("engine", "an answer is spoilt; the connection is closed")
+            log("engine", "an answer is spoilt; the connection is closed", engine=self._pool.engine,
+                request=self._attempt.request.name)
             connection.abort()
             self._cut()
             return
@@ -231,7 +232,7 @@
             try:
                 self._attempt.noted(kind, float(response.headers.get("x-val", "")))
             except ValueError:
-                log("engine", "a note has no number")
+                log("engine", "a note has no number", engine=self._pool.engine)
         if self._stopping is not None:
             connection.done_with(response)
             self._delete()
@@ -250,7 +251,8 @@
         self._sheets = self._sheets or int(response.headers["x-sheets"])
         self._pages.append(response.body)
         if sum(map(len, self._pages)) > MOST_RESULT_BYTES:
-            log("engine", "a result is longer than any may be")
+            log("engine", "a result is longer than any may be", engine=self._pool.engine,
+                request=self._attempt.request.name)
             connection.done_with(response)
             self._finish(self._stopping or Outcome.ERROR)
         elif len(self._pages) == self._sheets:
@@ -407,7 +409,7 @@
     def start(self, attempt: Attempt) -> Exchange | None:
         pool = self._pools.get(attempt.engine)
         if pool is None:
-            log("engine", f"{attempt.engine.decode(errors='replace')} was never listed")
+            log("engine", "it was never listed", engine=attempt.engine)
             attempt.ended(Outcome.MOOT)
             return None
         return HttpExchange(self, attempt, pool)
--- a/slipbay/back/mysql.py
+++ b/slipbay/back/mysql.py
@@ -57,7 +57,8 @@
                 if self.lost:
                     return
         except (mysql.MalformedPacket, mysql.PacketTooLarge) as problem:
-            log("engine", f"{type(problem).__name__}: {problem}; the connection is closed")
+            log("engine", f"{type(problem).__name__}: {problem}; the connection is closed",
+                engine=self.pool.engine)
             self.abort()
 
     def send(self, payload: bytes, sequence: int = 0) -> None:
@@ -103,7 +104,7 @@
 
     def _turned_away(self, payload: bytes) -> None:
         error = mysql.read_err(payload)
-        log("engine", f"login: {error.code} {error.message}")
+        log("engine", f"login: {error.code} {error.message}", engine=self.pool.engine)
         if error.code in FULL:
             self.trouble = Trouble.FULL
         self.abort()
@@ -333,7 +334,8 @@
                 return
             connection.release()
             if age is None:
-                log("engine", "the server tells no uptime; a thread of an earlier life is not killed")
+                log("engine", "it tells no uptime; a thread of an earlier life is not killed",
+                    engine=self._pool.engine)
             self._end()
 
         self._call(connection, b"SHOW GLOBAL STATUS LIKE 'Uptime'", reader, answered)
@@ -357,7 +359,7 @@
             if error.code == mysql.ER_NO_SUCH_THREAD:
                 self._end()
             else:
-                log("engine", f"kill: {error.code} {error.message}")
+                log("engine", f"kill: {error.code} {error.message}", engine=self._pool.engine)
                 self._later()
 
         self._call(connection, b"KILL %d" % self._thread, reader, answered)
@@ -399,7 +401,7 @@
     def start(self, attempt: Attempt) -> Exchange | None:
         pool = self._pools.get(attempt.engine)
         if pool is None:
-            log("engine", f"{attempt.engine.decode(errors='replace')} has no MySQL address")
+            log("engine", "it has no MySQL address", engine=attempt.engine)
             attempt.ended(Outcome.MOOT)
             return None
         exchange = MysqlExchange(self, attempt, pool)
--- /dev/null
+++ b/slipbay/cli.py
@@ -0,0 +1,212 @@
+"""The command line for operators: ``slipbay COMMAND``. Each command's help tells what it prints."""
+
+from __future__ import annotations
+
+import base64
+import fcntl
+import json
+import os
+import sys
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import click
+
+from slipbay.config import ConfigError, load
+
+DIRECTORY = click.Path(exists=True, file_okay=False, path_type=Path)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="slipbay")
+def main() -> None:
+    """A query router between clients on poor links and a fleet of engines."""
+
+
+@main.command()
+def serve() -> None:
+    """Run a router, as `python -m slipbay` does. GW_CONFIG names its configuration."""
+    from slipbay.__main__ import serve_until_end
+    sys.exit(serve_until_end())
+
+
+@main.command()
+@click.option("--config", type=click.Path(path_type=Path), help="In place of GW_CONFIG.")
+@click.option("--mysql", type=click.Path(path_type=Path), help="In place of SLIPBAY_MYSQL.")
+@click.option("--store", type=click.Path(path_type=Path), help="In place of SLIPBAY_STORE.")
+def check(config: Path | None, mysql: Path | None, store: Path | None) -> None:
+    """Read and check all configuration files; nothing is started or written.
+
+    Exit code 0 where a router would start with them, 2 with the file and key at fault.
+    """
+    environment = dict(os.environ)
+    for name, path in (("GW_CONFIG", config), ("SLIPBAY_MYSQL", mysql), ("SLIPBAY_STORE", store)):
+        if path is not None:
+            environment[name] = str(path)
+            if name != "GW_CONFIG" and not path.exists():
+                _fail(f"bad configuration: {path}: there is no such file")
+    try:
+        found = load(environment)
+    except ConfigError as problem:
+        _fail(f"bad configuration: {problem}")
+    click.echo(f"{environment['GW_CONFIG']}: good; "
+               f"{found.name} listens at {found.listen[0]}:{found.listen[1]}")
+    click.echo("the MySQL front is " + (
+        f"on, at {found.mysql.listen[0]}:{found.mysql.listen[1]}" if found.mysql else "off"))
+    click.echo("the durable store is " + (f"on, in {found.store.folder}" if found.store else "off"))
+
+
+def _fail(text: str, code: int = 2) -> Any:
+    click.echo(f"slipbay: {text}", err=True)
+    sys.exit(code)
+
+
+@main.group()
+def store() -> None:
+    """Look into the durable store of a router (docs/operate-store.md)."""
+
+
+def _survey(directory: Path) -> Any:
+    try:
+        from slipbay.store.disk import Folder
+        from slipbay.store.inspect import survey
+    except ImportError as problem:
+        _fail(f"this wants the extra packages of slipbay[store]: {problem}")
+    try:
+        return survey(Folder(directory, writable=False))
+    except OSError as problem:
+        _fail(f"{problem.filename}: {problem.strerror}")
+
+
+def _in_use(directory: Path) -> bool:
+    """Whether a process has the store open."""
+    try:
+        fd = os.open(directory / "LOCK", os.O_RDONLY | os.O_CLOEXEC)
+    except OSError:
+        return False
+    try:
+        fcntl.flock(fd, fcntl.LOCK_SH | fcntl.LOCK_NB)
+    except BlockingIOError:
+        return True
+    finally:
+        os.close(fd)
+    return False
+
+
+@store.command()
+@click.argument("directory", type=DIRECTORY)
+def status(directory: Path) -> None:
+    """What a store holds and takes: segments, bytes, keys by what is known of them."""
+    found = _survey(directory)
+    sizes = [(segment, (directory / segment.name).stat().st_size) for segment in found.segments
+             if (directory / segment.name).exists()]
+    click.echo(f"in use     {'yes' if _in_use(directory) else 'no'}")
+    click.echo(f"state      {found.problem or ('torn end' if found.torn_bytes else 'sound')}")
+    click.echo(f"segments   {len(found.segments)}, {sum(size for _, size in sizes)} bytes")
+    for segment, size in sizes:
+        kind = "compacted" if segment.compacted else "log" if segment.end else "log, written to"
+        click.echo(f"  {segment.name}  {size:>12} bytes  after change {segment.base}  {kind}")
+    click.echo(f"changes    {found.sequence}")
+    click.echo(f"records    {len(found.records)}")
+    counts = Counter(_describe(key, value)["state"] for key, value in found.records.items())
+    for state, count in sorted(counts.items()):
+        click.echo(f"  {state:<14} {count}")
+    for name in found.strays:
+        click.echo(f"left over  {name}; the next start removes it")
+    for name in found.foreign:
+        click.echo(f"foreign    {name}; it is left alone")
+
+
+@store.command()
+@click.argument("directory", type=DIRECTORY)
+@click.option("--json", "as_json", is_flag=True, help="One JSON object a line.")
+def dump(directory: Path, as_json: bool) -> None:
+    """Every live record, sorted by its key. Writes nothing; a running router's store can be dumped too.
+
+    Exit code 2 where the store is damaged: then what could be read is printed.
+    """
+    found = _survey(directory)
+    for key, value in sorted(found.records.items()):
+        record = _describe(key, value)
+        if as_json:
+            click.echo(json.dumps(record, ensure_ascii=False))
+        else:
+            state, name = record.pop("state"), record.pop("key")
+            record.pop("value_base64", None)
+            click.echo(f"{state:<14} {name}  " + " ".join(f"{name}={told}" for name, told in record.items()))
+    if found.problem:
+        _fail(found.problem)
+
+
+@store.command()
+@click.argument("directory", type=DIRECTORY)
+def verify(directory: Path) -> None:
+    """Read every byte of a store. Writes nothing.
+
+    Exit code 0: sound. 1: a torn end, of a change that was never told as durable; opening cuts it off.
+    2: damage; it says where.
+    """
+    found = _survey(directory)
+    if found.problem:
+        _fail(f"damaged: {found.problem}")
+    if found.torn_bytes:
+        click.echo(f"torn end: {found.torn_bytes} bytes behind change {found.sequence}; "
+                   "the next start cuts them off")
+        sys.exit(1)
+    click.echo(f"sound: {len(found.records)} records, {found.sequence} changes")
+
+
+@store.command()
+@click.argument("directory", type=DIRECTORY)
+def compact(directory: Path) -> None:
+    """Merge all of a store that no router has open; dead records are dropped, live ones compressed."""
+    _survey(directory)  # says which packages are missing
+    from slipbay.store.disk import Folder
+    from slipbay.store.engine import Store
+    from slipbay.store.frame import StoreError
+    if not (directory / "MANIFEST").exists():
+        _fail(f"{directory}: there is no store")
+    try:
+        opened = Store.open(Folder(directory))
+        try:
+            before, records = opened.used_bytes, len(opened)
+            opened.compact_step(force=True)
+            while opened.compact_step():
+                pass
+            click.echo(f"{records} records, {before} bytes before, {opened.used_bytes} now")
+        finally:
+            opened.close()
+    except StoreError as problem:
+        _fail(str(problem))
+    except OSError as problem:
+        _fail(f"{problem.filename}: {problem.strerror}")
+
+
+def _describe(key: bytes, value: bytes) -> dict[str, Any]:
+    """A record for people and JSON; times in µs of the Unix clock."""
+    from slipbay.ledger import life, tally
+    name = key[1:].decode(errors="backslashreplace")
+    try:
+        if key[:1] == life.REQUEST:
+            entry = life.read_entry(key, value)
+            intent = entry.intent
+            return {
+                "key": name, "state": entry.fate.value if entry.fate else entry.phase.value,
+                "digest": entry.digest.hex(), "at_us": entry.at_us, "told": entry.told,
+                "answer_bytes": entry.answer_bytes, **({} if intent is None else {
+                    "engine": intent.engine.decode(errors="backslashreplace"), "wire": intent.wire,
+                    "attempt": intent.attempt, "birth_us": intent.birth_us, "thread": intent.thread,
+                    "deadline_us": intent.deadline_us})}
+        if key[:1] == life.TALLY:
+            memory = tally.read(value, 2**63)
+            return {"key": name, "state": "ration", "taken": memory.taken, "extras": memory.extras}
+    except ValueError:
+        return {"key": name, "state": "unreadable", "value_base64": base64.b64encode(value).decode()}
+    state = "answer" if key[:1] == life.ANSWER else "unknown"
+    return {"key": name, "state": state, "bytes": len(value),
+            "value_base64": base64.b64encode(value).decode()}
+
+
+if __name__ == "__main__":
+    main()
--- a/slipbay/core/keeper.py
+++ b/slipbay/core/keeper.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from functools import partial
@@ -28,9 +29,10 @@
 from slipbay.store.disk import Folder
 from slipbay.store.engine import Store
 from slipbay.store.frame import StoreError
-from slipbay.store.writer import Grouping, Writer
+from slipbay.store.writer import SWITCH_S, Grouping, Writer
 
 SWEEP_US = 1_000_000
+LATE_US = 3_000  # that changes which nobody waits for may wait for company
 MOST_INQUIRIES = 32  # under way at once
 MAY_HAVE_RUN = "it may have run, and is never run again"
 UNKNOWN = "the durable store cannot be read, so it is not known whether it has run"
@@ -47,6 +49,7 @@
     def post(call: Callable[[], None]) -> None:
         loop.call_soon_threadsafe(call)
 
+    sys.setswitchinterval(SWITCH_S)  # the loop must not wait long for the store's thread
     bounds = plan.Bounds(config.segment_bytes, config.most_bytes)
     grouping = Grouping(config.group_records, config.group_bytes, config.group_wait_us, config.retry_us)
     return Writer(lambda: Store.open(Folder(config.folder), bounds), grouping, post)
@@ -100,6 +103,7 @@
         self._problem = ""  # why the store can't be used at all
         self._waiters: dict[bytes, list[Waiter]] = {}
         self._waiting = self._waiting_bytes = 0
+        self._flush_due = False
         self._runners: dict[bytes, Request] = {}
         self._engines: dict[bytes, Known] = {}
         self._inquirers: dict[str, Inquirer] = {}
@@ -236,14 +240,15 @@
         """Whether the core goes on with a request; if not, its answer comes from here."""
         if self._ledger is None:  # it may be a repeat of one that has run: it can't be refused
             if self._problem:
-                log("unsafe", f"failed, as the store cannot be read: {self._problem}")
+                log("unsafe", f"failed, as the store cannot be read: {self._problem}", request=request.name)
                 self._answer_soon(request, Failed(UNKNOWN))
             else:
                 self._hold(request)
             return False
         if not self.knows(request.key) and (self._recovery is not None or self._writer.health.problem):
             log("unsafe", "refused for now: " + (
-                self._writer.health.problem or "the fate of earlier requests is being learned"))
+                self._writer.health.problem or "the fate of earlier requests is being learned"),
+                request=request.name)
             self._answer_soon(request, Refused(self._later))
             return False
         return self._ask(self._ledger, request)
@@ -354,7 +359,8 @@
             assert self._ledger is not None
             if problem is not None:
                 self._ledger.unrun(entry, attempt.number)
-                log("unsafe", f"an attempt was kept back: {problem}")
+                log("unsafe", f"an attempt was kept back: {problem}", request=request.name,
+                    engine=attempt.engine)
                 self._core.keep_back(attempt, self._later)
                 self._failed()
             elif not attempt.over and self._ledger.leaves(entry, attempt.number):
@@ -424,7 +430,14 @@
         """Changes that nobody waits for: at worst they are not there after a crash, and a repeat is told
         that the request may have run."""
         if changes:
-            self._writer.append(changes, partial(self._written, changes), must=True)
+            self._writer.append_late(changes, partial(self._written, changes))
+            if not self._flush_due:
+                self._flush_due = True
+                self._timers.after(LATE_US, self._flush)
+
+    def _flush(self) -> None:
+        self._flush_due = False
+        self._writer.flush()
 
     def _written(self, changes: list[Change], problem: StoreError | None) -> None:
         if problem is not None:
--- a/slipbay/core/router.py
+++ b/slipbay/core/router.py
@@ -190,7 +190,7 @@
                  decider: api.Decider, settings: api.Settings, max_open: int,
                  max_bytes: int) -> None:
         self._loop, self.clock, self.timers = loop, clock, timers
-        self._decider, self.settings = decider, settings
+        self.decider, self.settings = decider, settings
         self.max_open, self.max_bytes, self._bytes = max_open, max_bytes, 0
         self._events: list[api.Event] = []
         self._turn_due = False
@@ -281,7 +281,7 @@
         events, self._events = self._events, []
         now = self.clock.now()
         try:
-            actions = self._decider.handle(now, events)
+            actions = self.decider.handle(now, events)
         except Exception as problem:  # the clients are answered by the guard; others must not suffer
             log("decisions", f"{type(problem).__name__}: {problem}")
             return
@@ -361,7 +361,8 @@
         if self._turn_due:
             self._turn()  # their own timer may be among this turn's events
         if not request.over:
-            log("overdue", f"request {request.name} was not decided in time")
+            log("overdue", "a request was not decided in time", request=request.name,
+                class_=request.service_class)
             self._answer(request, Failed("the deadline has passed", late=True))
             self.tell(api.QueryGone(request.id))
             for attempt in list(request.out.values()):
--- a/slipbay/store/engine.py
+++ b/slipbay/store/engine.py
@@ -29,6 +29,10 @@
 _SEGMENT_AT = _OFFSET_AT + _OFFSET_BITS
 _LENGTH, _INNER, _OFFSET = 2**_LENGTH_BITS - 1, 2**_INNER_BITS - 1, 2**_OFFSET_BITS - 1
 
+_MOVES = 1000  # entries of the index that a step moves
+_SYNC_BYTES = 1024 * 1024  # of a compacted segment, after which it is synced
+_CHUNK = 2000  # records that opening reads before it lets another thread go on
+
 Change = tuple[bytes, bytes | None]  # key, and its value or None to delete it
 
 
@@ -82,6 +86,7 @@
         self._index: dict[bytes, int] = {}
         self._live: dict[int, int] = {}  # bytes of live records, by segment
         self._merge: Iterator[None] | None = None
+        self._switched = False  # the compaction under way has switched manifests
 
     # Opening
 
@@ -112,6 +117,8 @@
         self._next_number = self._manifest.next_number
         for segment, scan, torn in scan_segments(self._disk, self._manifest, names):
             self._take_in(segment.number, scan.records)
+            if scan.more:
+                continue
             self.sequence, self._size = scan.last, scan.end
             self.found.torn_bytes += torn
         self.found.records = len(self._index)
@@ -125,8 +132,7 @@
                 old = index.pop(record.key, 0)
             else:
                 old = index.get(record.key, 0)
-                index[record.key] = (place | record.offset << _OFFSET_AT
-                                     | record.inner + 1 << _INNER_AT | record.length)
+                index[record.key] = _place(place, record)
                 added += record.length
             if old:
                 if old >> _SEGMENT_AT == number:
@@ -176,7 +182,7 @@
     def _fail(self, problem: OSError) -> str:
         """Writing failed, so nothing is known of the active segment's end: never append to it again."""
         self.totals.failures += 1
-        self._merge = None
+        self._drop_merge()
         text = f"writing failed: {problem.strerror or problem}"
         self.heal(text)
         return text
@@ -206,7 +212,10 @@
         self._size = frame.HEAD_BYTES
         self._live.setdefault(number, 0)
         kept = {segment.number for segment in self._manifest.segments}
-        self._remove(segment.name for segment in old.segments if segment.number not in kept)
+        for segment in old.segments:
+            if segment.number not in kept:  # it held no record
+                self._live.pop(segment.number, None)
+                self._remove([segment.name])
 
     def _switch(self, new: Manifest) -> None:
         new = replace(new, next_number=self._next_number)
@@ -219,8 +228,6 @@
         self._disk.rename(manifest.FRESH, manifest.NAME)
         self._disk.sync_folder()
         self._manifest = new
-        for number in self._live.keys() - {segment.number for segment in new.segments}:
-            del self._live[number]
 
     def _remove(self, names: Iterable[str]) -> None:
         """Files that count no more; one that stays is removed by a later opening."""
@@ -242,7 +249,7 @@
     # Compaction
 
     def compact_step(self, force: bool = False) -> bool:
-        """Do a little of the compaction that is due, some 64 KiB; whether there was any to do.
+        """Do a little of the compaction that is due; whether there was any to do.
 
         ``force``: merge all sealed segments, worth it or not. ``CannotWrite`` where the disk fails; what was
         there stays.
@@ -261,63 +268,87 @@
             if next(self._merge, self) is self:
                 self._merge = None
         except OSError as problem:
-            self._merge = None
+            self._drop_merge()
             self.totals.failures += 1
             raise CannotWrite(f"compaction failed: {problem.strerror or problem}") from None
         return True
 
+    def _drop_merge(self) -> None:
+        """Give a compaction up; one that has switched already only moves the index, and is finished."""
+        while self._switched and self._merge is not None and next(self._merge, self) is not self:
+            pass
+        self._merge = None
+
     def _merging(self, count: int) -> Iterator[None]:
-        """Copy what lives of the oldest ``count`` segments into a new one, then switch to it."""
+        """Copy what lives of the oldest ``count`` segments into a new one, switch to it, move the index over.
+
+        Each step handles some frames, so that commits between them wait for little.
+        """
         merged = self._manifest.segments[:count]
-        order = {segment.number: position for position, segment in enumerate(merged)}
-        places = sorted(  # as they were written, so that sequences rise
-            ((place, key) for key, place in self._index.items() if place >> _SEGMENT_AT in order),
-            key=lambda item: (order[item[0] >> _SEGMENT_AT], item[0]))
-        yield
         number, self._next_number = self._next_number, self._next_number + 1
         moved: list[tuple[bytes, int, int]] = []  # key, old place, new place
         handle = self._disk.create(manifest.segment_name(number))
         try:
             handle.append(frame.head(number, merged[0].base))
-            end, raw = frame.HEAD_BYTES, 0
-            cache = _Blocks(self._disk)
-            position = 0
-            while position < len(places):
-                frames, size = [], 0
-                start = position
-                while position < len(places) and size < frame.BLOCK_BYTES:
-                    frames.append(cache.frame(places[position][0]))
-                    size += len(frames[-1])
-                    position += 1
-                data = frame.block(b"".join(frames))
-                inner = 0
-                for (old, key), item in zip(places[start:position], frames, strict=True):
-                    moved.append((key, old, number << _SEGMENT_AT | end << _OFFSET_AT
-                                  | inner + 1 << _INNER_AT | len(item)))
-                    inner += len(item)
-                handle.append(data)
-                handle.sync()  # a little each time: one sync of all would hold up the commits' own
-                end += len(data)
-                raw += size
-                self.totals.bytes_copied += len(data)
+            end, raw, unsynced = frame.HEAD_BYTES, 0, 0
+            for frames in self._living(merged):
+                if frames:
+                    data = frame.block(b"".join(item for _, _, item in frames))
+                    inner = 0
+                    for key, old, item in frames:
+                        moved.append((key, old, number << _SEGMENT_AT | end << _OFFSET_AT
+                                      | inner + 1 << _INNER_AT | len(item)))
+                        inner += len(item)
+                    handle.append(data)
+                    end, raw, unsynced = end + len(data), raw + inner, unsynced + len(data)
+                    self.totals.bytes_copied += len(data)
+                if unsynced >= _SYNC_BYTES:  # in between: one sync of all would hold up the commits' own
+                    handle.sync()
+                    unsynced = 0
                 yield
+            handle.sync()
+            yield
             self._disk.sync_folder()
         finally:
             handle.close()
         into = Segment(number, merged[0].base, end, merged[-1].last, raw, compacted=True)
+        self._live[number] = 0
         self._switch(self._manifest.merged(count, into if moved else None))
-        live = 0
-        for key, old, new in moved:
+        self._switched = True  # from here on it must be finished: the index names files that no longer count
+        for position, (key, old, new) in enumerate(moved):
             if self._index.get(key) == old:  # else it was written or deleted meanwhile
                 self._index[key] = new
-                live += new & _LENGTH
-        if moved:
-            self._live[number] = live
-        self._remove(segment.name for segment in merged)
-        if not moved:
-            self._remove([manifest.segment_name(number)])
+                self._live[old >> _SEGMENT_AT] -= old & _LENGTH
+                self._live[number] += new & _LENGTH
+            if position % _MOVES == _MOVES - 1:
+                yield
+        self._switched = False
+        for segment in (*merged, *([] if moved else [into])):
+            self._live.pop(segment.number, None)
+        self._remove(segment.name for segment in (*merged, *([] if moved else [into])))
         self.totals.compactions += 1
 
+    def _living(self, segments: tuple[Segment, ...]) -> Iterator[list[tuple[bytes, int, bytes]]]:
+        """Key, place and frame of what lives in sealed segments, in the order in which it was written."""
+        index = self._index
+        for segment in segments:
+            place, last = segment.number << _SEGMENT_AT, segment.base
+            blocks, data = _Blocks(self._disk), self._disk.read(segment.name, 0, segment.end)
+            at = frame.HEAD_BYTES
+            while at < segment.end:
+                scan = frame.scan(data, at, segment.end, last, not segment.compacted,
+                                  plan.copies(self.used_bytes, self.bounds))
+                if scan.spoilt:
+                    raise Damaged(f"{segment.name}: byte {scan.end}: {scan.spoilt}")
+                at, last = scan.end, scan.last
+                found = []
+                for record in scan.records:
+                    where = _place(place, record)
+                    if index.get(record.key) == where:
+                        found.append((record.key, where, blocks.frame(where) if record.inner >= 0 else
+                                      data[record.offset:record.offset + record.length]))
+                yield found
+
     # Reading
 
     def __len__(self) -> int:
@@ -353,11 +384,17 @@
 
     def close(self) -> None:
         if self.state is not State.CLOSED:
-            self.state, self._merge = State.CLOSED, None
+            self._drop_merge()
+            self.state = State.CLOSED
             self._close_handle()
             self._disk.unlock()
 
 
+def _place(segment: int, record: Record) -> int:
+    """Where a record stands, as the index keeps it."""
+    return segment | record.offset << _OFFSET_AT | record.inner + 1 << _INNER_AT | record.length
+
+
 class _Blocks:
     """Reads frames; the last stretch and the last block read are kept, as neighbours follow each other."""
 
@@ -406,7 +443,8 @@
 
 def scan_segments(disk: Disk, found: Manifest,
                   names: list[str]) -> Iterator[tuple[Segment, frame.Scan, int]]:
-    """Each segment in order with its records, and the bytes of a torn end behind the last whole commit.
+    """Each segment in order with its records, some at a time, and with the last of them the bytes of a torn
+    end behind the last whole commit.
 
     Raises ``Damaged`` where something is not there that was on the disk for certain.
     """
@@ -422,7 +460,11 @@
         end = segment.end if sealed else len(data)
         if len(data) < end:
             raise Damaged(f"{segment.name}: {end} bytes were on the disk, {len(data)} are there")
-        scan = frame.scan(data, frame.HEAD_BYTES, end, base, not segment.compacted)
+        scan = frame.Scan([], frame.HEAD_BYTES, base, "", more=True)
+        while scan.more:
+            scan = frame.scan(data, scan.end, end, scan.last, not segment.compacted, _CHUNK)
+            if scan.more:
+                yield segment, scan, 0
         if sealed and not segment.compacted and not scan.spoilt and scan.last != segment.last:
             raise Damaged(f"{segment.name}: it ends with record {scan.last}, not {segment.last}")
         if sealed and scan.spoilt or scan.spoilt and frame.later_commit(data, scan.end, end, scan.last) >= 0:
--- a/slipbay/store/frame.py
+++ b/slipbay/store/frame.py
@@ -33,7 +33,7 @@
 FIRST = 0x80
 MOST_KEY_BYTES = 1024
 MOST_VALUE_BYTES = 4 * 1024 * 1024
-BLOCK_BYTES = 64 * 1024  # of frames in a block; one frame alone may be longer
+BLOCK_BYTES = 16 * 1024  # of frames in a block, about; one frame alone may be longer
 MOST_BLOCK_BYTES = BLOCK_BYTES + FRAME_BYTES + MOST_KEY_BYTES + MOST_VALUE_BYTES
 
 _checksum = google_crc32c.value
@@ -106,18 +106,22 @@
     end: int  # where the last sound frame ends
     last: int  # its sequence
     spoilt: str  # why the next one is none; "" where the stretch ends with a whole frame
+    more: bool = False  # it stopped only because it has enough records
 
 
-def scan(data: bytes, at: int, end: int, last: int, consecutive: bool) -> Scan:
+def scan(data: bytes, at: int, end: int, last: int, consecutive: bool,
+         enough: int = 2**62) -> Scan:
     """Read frames of ``data`` from ``at`` until ``end`` or until one is spoilt.
 
-    ``last`` is the sequence before the first. ``consecutive``: each sequence follows the one before, as in a
-    log; else they rise, as after compaction.
+    It stops once it has ``enough`` records. ``last`` is the sequence before the first. ``consecutive``: each
+    sequence follows the one before, as in a log; else they rise, as after compaction.
     """
     records: list[Record] = []
     unpack, most = FRAME.unpack_from, MOST_KEY_BYTES + MOST_BLOCK_BYTES
     add = records.append
     while at < end:
+        if len(records) >= enough:
+            return Scan(records, at, last, "", more=True)
         if end - at < FRAME_BYTES:
             return Scan(records, at, last, "a frame is cut off")
         crc, length, sequence, key_length, kind = unpack(data, at)
--- a/slipbay/store/writer.py
+++ b/slipbay/store/writer.py
@@ -12,6 +12,8 @@
 from slipbay.store.engine import CannotWrite, Change, Full, State, Store
 from slipbay.store.frame import StoreError
 
+SWITCH_S = 0.0005  # after which a thread that waits for the interpreter gets it (``sys.setswitchinterval``)
+
 Done: TypeAlias = Callable[[StoreError | None], None]
 Post: TypeAlias = Callable[[Callable[[], None]], None]
 
@@ -61,6 +63,7 @@
         self._make, self._grouping, self._post = make, grouping, post
         self._wake = threading.Condition()
         self._queue: deque[_Append | _Ask] = deque()
+        self._late: list[_Append] = []  # of the loop, not yet handed over
         self._closing = False
         self._again_at = 0.0  # when to try again after trouble, by the monotonic clock; 0 without any
         self.health = Health()
@@ -81,6 +84,17 @@
         size = sum(len(key) + len(value or b"") for key, value in changes)
         self._put(_Append(changes, must, done, size))
 
+    def append_late(self, changes: list[Change], done: Done) -> None:
+        """As ``append`` with ``must``, but kept back until the next append or ``flush``: for changes that
+        nobody waits for, so that they share another's sync and do not wake the thread."""
+        size = sum(len(key) + len(value or b"") for key, value in changes)
+        self._late.append(_Append(changes, True, done, size))
+
+    def flush(self) -> None:
+        """Begin what was appended late."""
+        if self._late:
+            self._put()
+
     def get(self, key: bytes, done: Callable[[bytes | None], None]) -> None:
         """Read a value; None where there is none, or where it can't be read."""
         def work(store: Store) -> None:
@@ -94,15 +108,18 @@
 
     def close(self) -> None:
         """Commit what was appended, then close. Returns once that is done, or after some seconds."""
+        self.flush()
         with self._wake:
             self._closing = True
             self._wake.notify()
         self._thread.join(5)
 
-    def _put(self, item: _Append | _Ask) -> None:
+    def _put(self, *items: _Append | _Ask) -> None:
         with self._wake:
-            self._queue.append(item)
+            self._queue.extend(self._late)
+            self._queue.extend(items)
             self._wake.notify()
+        self._late.clear()
 
     @property
     def waiting(self) -> int:
@@ -194,8 +211,7 @@
             while self._queue:
                 item = self._queue[0]
                 if not isinstance(item, _Append) or group and (
-                        item.must != group[0].must
-                        or changes + len(item.changes) > self._grouping.most_changes
+                        changes + len(item.changes) > self._grouping.most_changes
                         or size + item.size > self._grouping.most_bytes):
                     break
                 self._queue.popleft()
@@ -215,9 +231,14 @@
     def _commit(self, store: Store, group: list[_Append]) -> None:
         problem: StoreError | None = None
         try:
-            store.commit([change for item in group for change in item.changes], group[0].must)
+            store.commit([change for item in group for change in item.changes],
+                         all(item.must for item in group))
         except Full as full:
             problem = full
+            if len(group) > 1:  # some may still have room, above all those that must
+                for item in group:
+                    self._commit(store, [item])
+                return
         except CannotWrite as failure:
             problem = failure
             self._again_at = time.monotonic() + self._grouping.retry_us / 1e6
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from typing import Any
 
+from martenkeel import Controller
 from slipbay.__main__ import Router
 from slipbay.config import Config, from_json, load_mysql, load_store
 
@@ -217,6 +218,12 @@
         if self.router.keeper is not None:
             self.router.keeper.close()
 
+    @property
+    def decisions(self) -> Controller:
+        controller = self.router.core.decider
+        assert isinstance(controller, Controller)
+        return controller
+
     def port(self, number: int = 0) -> int:
         """Where the router listens: JSON-RPC first, then MySQL."""
         return self.router.server.ports[number]
--- a/tests/sim_disk.py
+++ b/tests/sim_disk.py
@@ -69,7 +69,11 @@
     def create(self, name: str) -> SimHandle:
         self.fault("create", name, 0)
         self.ops.append(("create", name, b""))
-        self.files[name] = File()
+        if name in self.files:  # the same file, cut to nothing
+            self.files[name].data.clear()
+            self.files[name].synced = 0
+        else:
+            self.files[name] = File()
         return SimHandle(self, name, self.files[name])
 
     def rename(self, old: str, new: str) -> None:
@@ -123,7 +127,10 @@
     made: dict[int, File] = {}  # by the operation that made it
     for at, op in enumerate(done):
         what, name, data = op
-        if what == "create":
+        if what == "create" and name in names:
+            names[name].data.clear()
+            names[name].synced = 0
+        elif what == "create":
             names[name] = made[at] = File()
             pending.append((what, f"{name} {at}", b""))
         elif what == "append":
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,143 @@
+"""The command line for operators, and the log lines, as they are seen from outside."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner, Result
+from routers import ROOT, store_file
+from test_process import configure
+
+import slipbay.log
+from slipbay.cli import main
+from slipbay.ledger.life import Intent, Ledger
+from slipbay.ledger.tally import write
+from slipbay.store.disk import Folder
+from slipbay.store.engine import Store
+
+
+def call(*words: object, **environment: str) -> Result:
+    return CliRunner().invoke(main, [str(word) for word in words], env=environment)
+
+
+def filled(folder: Path) -> None:
+    """A store with a request that was served, one of unknown fate, and the ration."""
+    from martenkeel.interface import Remembered
+    store, ledger = Store.open(Folder(folder)), Ledger()
+    for name in (b"json:b", b"json:a"):
+        ledger.ask(name, b"d", True, 1)
+        entry = ledger.entries[name]
+        store.commit(ledger.intend(entry, Intent(0, b"s-1", 0, "http", "a", 0, 1, 2), 1))
+    assert ledger.leaves(ledger.entries[b"json:a"], 0)
+    store.commit(ledger.serve(ledger.entries[b"json:a"], b"rows", True, 3))
+    store.commit([(b"t", write(Remembered(((1, 1.0),), ())))])
+    store.close()
+
+
+def listing(folder: Path) -> dict[str, tuple[int, bytes]]:
+    return {file.name: (file.stat().st_mtime_ns, file.read_bytes()) for file in folder.iterdir()}
+
+
+def test_dump_prints_each_live_record_sorted_by_key_and_writes_nothing(tmp_path: Path) -> None:
+    filled(tmp_path)
+    before = listing(tmp_path)
+    told = call("store", "dump", "--json", tmp_path)
+    records = [json.loads(line) for line in told.output.splitlines()]
+    assert told.exit_code == 0 and [(record["key"], record["state"]) for record in records] == [
+        ("json:a", "answer"), ("json:a", "served"), ("json:b", "running"), ("", "ration")]
+    assert records[2]["engine"] == "s-1" and records[1]["answer_bytes"] == 4
+    assert "json:b" in call("store", "dump", tmp_path).output
+    assert "records    4" in call("store", "status", tmp_path).output and listing(tmp_path) == before
+
+
+def test_verify_tells_sound_torn_and_damaged_apart(tmp_path: Path) -> None:
+    filled(tmp_path)
+    assert call("store", "verify", tmp_path).exit_code == 0
+    segment = max(tmp_path.glob("*.seg"))
+    whole = segment.read_bytes()
+    segment.write_bytes(whole[:-1])
+    before = listing(tmp_path)
+    torn = call("store", "verify", tmp_path)
+    assert torn.exit_code == 1 and "torn end" in torn.output and listing(tmp_path) == before
+    segment.write_bytes(whole[:60] + b"\xff" + whole[61:])
+    damaged = call("store", "verify", tmp_path)
+    assert damaged.exit_code == 2 and f"{segment.name}: byte" in damaged.output
+    assert call("store", "dump", tmp_path).exit_code == 2
+    assert call("store", "verify", tmp_path / "none").exit_code == 2
+    (tmp_path / "empty").mkdir()
+    assert call("store", "verify", tmp_path / "empty").exit_code == 2
+    assert call("store", "compact", tmp_path / "empty").exit_code == 2
+    assert list((tmp_path / "empty").iterdir()) == []
+
+
+def test_compact_keeps_what_lives_and_leaves_a_store_in_use_alone(tmp_path: Path) -> None:
+    filled(tmp_path)
+    before = call("store", "dump", "--json", tmp_path).output
+    told = call("store", "compact", tmp_path)
+    assert told.exit_code == 0 and "4 records" in told.output
+    assert call("store", "dump", "--json", tmp_path).output == before
+    opened = Store.open(Folder(tmp_path))
+    refused = call("store", "compact", tmp_path)
+    assert refused.exit_code == 2 and "another process" in refused.output
+    assert "in use     yes" in call("store", "status", tmp_path).output
+    opened.close()
+    assert "in use     no" in call("store", "status", tmp_path).output
+
+
+def test_check_names_the_file_and_key_at_fault(tmp_path: Path) -> None:
+    config, store = configure(tmp_path), store_file(tmp_path)
+    good = call("check", "--config", config, "--store", store)
+    assert good.exit_code == 0 and f"durable store is on, in {tmp_path / 'data'}" in good.output
+    assert not (tmp_path / "data").exists()
+    assert "durable store is off" in call("check", GW_CONFIG=str(config)).output
+    for line, fault in (
+            ("folder = 3", "store.toml: folder: want a string"),
+            ("colour = 1", "store.toml: colour: no such key"),
+            ("most_mb = 1", "store.toml: most_mb: want at least four times segment_mb"),
+            ("keep = { answer_kb = 5000 }", "store.toml: keep.answer_kb: want at most 4096"),
+            ("keep = { most_keys = 10000000 }", "store.toml: keep.most_keys: 10000000 keys would take more"),
+            ("keep = { retention = 1 }", "store.toml: keep.retention: no such key"),
+            ("commit = { wait_us = -1 }", "store.toml: commit.wait_us: want a number of at least 0"),
+            ('when_it_cannot_write = "pray"', "store.toml: when_it_cannot_write: want 'refuse' or 'stop'")):
+        more = "" if line.startswith("folder") else 'folder = "data"\n'
+        store.write_text(f"enabled = true\n{more}{line}\n")
+        told = call("check", "--config", config, "--store", store)
+        assert told.exit_code == 2 and fault in told.output, told.output
+    assert call("check", "--config", config, "--store", tmp_path / "none").exit_code == 2
+
+
+def test_a_router_starts_from_the_command_line_and_says_what_is_wrong(tmp_path: Path) -> None:
+    environment = {**os.environ, "GW_CONFIG": str(configure(tmp_path, listen="nowhere"))}
+    for words in ([], ["serve"]):
+        told = subprocess.run([sys.executable, "-m", "slipbay", *words], cwd=ROOT, env=environment,
+                              capture_output=True, text=True)
+        assert told.returncode == 2 and "bad configuration: listen:" in told.stderr
+
+
+def test_a_router_without_a_store_loads_nothing_of_it() -> None:
+    """It would cost memory that the platform counts, and packages that it may not have."""
+    code = ("import sys, slipbay.__main__\n"
+            "print(sorted({'click', 'msgpack', 'zstandard', 'google_crc32c', 'slipbay.core.keeper'}"
+            " & set(sys.modules)))")
+    told = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
+    assert told.stdout == "[]\n", told.stderr
+
+
+def test_log_lines_have_a_form_for_people_and_one_for_machines(
+        capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(slipbay.log, "_kinds", {})
+    slipbay.log.log("engine", "it broke", engine=b"s-1", class_=2)
+    assert capsys.readouterr().err == "slipbay: engine: it broke engine=s-1 class=2\n"
+    monkeypatch.setattr(slipbay.log, "_logger", slipbay.log._make("json"))
+    slipbay.log.log("engine", "it broke", engine=b"s-1", class_=2)
+    line = json.loads(capsys.readouterr().err)
+    assert line.pop("at").endswith("Z")
+    assert line == {"kind": "engine", "text": "it broke", "engine": "s-1", "class": 2}
+    for _ in range(10):
+        slipbay.log.log("storm", "again")
+    assert len(capsys.readouterr().err.splitlines()) == slipbay.log.BURST
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import signal
 import threading
 from pathlib import Path
 from typing import Any
@@ -314,7 +315,6 @@
         client = await MysqlClient.connect(router.ports[1])
         client.command(0x03, LOAD.encode())
         await until(lambda: bool(engine.running))
-        thread = next(iter(engine.running))
         await router.kill()
         engine.uptime_s = 0  # another server, by its age: its threads are not ours
         await router.start()
@@ -323,6 +323,8 @@
         with pytest.raises(MysqlError) as problem:
             await again.query(LOAD)
         assert "may have run" in problem.value.text and engine.killed == []
+        await until(lambda: any(b"may have run" in value for value in survey(
+            Folder(tmp_path / "data")).records.values()))  # settled for good
         await router.kill()
         assert engine.executed[LOAD.encode()] == 1
         engine.uptime_s = 10_000
@@ -331,8 +333,8 @@
         await router.read.wait()
         client = await MysqlClient.connect(router.ports[1])
         client.command(0x03, other.encode())
-        await until(lambda: len(engine.running) == 2)
-        second = next(number for number in engine.running if number != thread)
+        await until(lambda: other.encode() in engine.running.values())
+        second = next(number for number, what in engine.running.items() if what == other.encode())
         await router.kill()
         await router.start()
         await router.read.wait()
@@ -346,3 +348,60 @@
         engine.server.close()
 
     run(test)
+
+
+def test_the_ration_is_written_and_taken_back(tmp_path: Path) -> None:
+    """Further attempts of a life that ended count in the next one."""
+    async def turn_away(call: HttpCall, writer: asyncio.StreamWriter) -> bytes | None:
+        return http_answer(503, X_No_Effect="1")
+
+    async def test() -> None:
+        file = store_file(tmp_path)
+        async with Loopback(StandInEngine(turn_away), StandInEngine(turn_away), store_file=file) as net:
+            client = await net.client()
+            client.query("lookup", limit=400)
+            assert "error" in await client.answer()
+            spent = sum(amount for _, amount in net.decisions.memory().extras)
+            assert spent >= 1
+        async with Loopback(StandInEngine(), store_file=file) as net:
+            assert sum(amount for _, amount in net.decisions.memory().extras) >= spent
+
+    run(test)
+
+
+def test_settled_keys_are_forgotten_after_their_time(tmp_path: Path) -> None:
+    async def test() -> None:
+        engine = StandInEngine()
+        file = store_file(tmp_path, keep="{ retention_h = 0.001 }")
+        async with Loopback(engine, store_file=file) as net:
+            client, keeper = await net.client(), net.router.keeper
+            assert "result" in await load(client) and keeper is not None
+            ledger = keeper._ledger
+            assert ledger is not None and len(ledger.entries) == 1
+            keeper._ledger.time(ledger._now + 4_000_000)  # type: ignore[union-attr]
+            await until(lambda: not ledger.entries)
+        assert survey(Folder(tmp_path / "data")).records == {}
+
+    run(test)
+
+
+def test_sighup_takes_over_what_can_change_and_a_bad_file_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        store_file(tmp_path)
+        engine = StandInEngine()
+        await engine.start()
+        router = RouterProcess(tmp_path, {"s-0": engine.port})
+        await router.start()
+        await router.read.wait()
+        for more, told in (({"later_ms": "-1"}, "the old one stays: store.toml: later_ms"),
+                           ({"later_ms": "5", "segment_mb": "4"}, "next start: store.segment_bytes")):
+            store_file(tmp_path, **more)
+            assert router.process is not None
+            router.process.send_signal(signal.SIGHUP)
+            await until(lambda told=told: any(told in line for line in router.lines))  # type: ignore[misc]
+        client = JsonClient(*await asyncio.open_connection("127.0.0.1", router.ports[0]))
+        assert "result" in await load(client)
+        assert await router.end() == 0
+        engine.server.close()
+
+    run(test)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -397,6 +397,7 @@
     assert plan.merge([sizes(1000, 800)] * 8, 8000, bounds) == 8  # little room is left
     assert plan.merge([sizes(1000, 900)] * 8, 8000, bounds) == 0  # and nothing to win
     assert plan.merge([sizes(10, 10)] * (plan.MOST_SEALED + 1), 650, bounds) == plan.MOST_SEALED + 1
+    assert [plan.copies(used, bounds) // plan.FEW for used in (4999, 5000, 7500)] == [1, 4, 16]
     assert plan.room(8700, 50, False, bounds) and not plan.room(8700, 51, False, bounds)
     assert plan.room(9999, 1, True, bounds) and not plan.room(10_000, 1, True, bounds)
 
