--- a/slipbay/config.py
+++ b/slipbay/config.py
@@ -22,7 +22,7 @@
 DEFAULT_PACKET_BYTES, DEFAULT_MYSQL_IDLE_S = 1024 * 1024, 600.0
 DEPLOY = Path(__file__).parent.parent / "deploy"
 MYSQL_FILE, STORE_FILE = DEPLOY / "mysql.toml", DEPLOY / "store.toml"
-KEY_BYTES = 700  # of memory for a key that the store holds, in the index and in the ledger (docs/store.md)
+KEY_BYTES = 850  # of memory for a key that the store holds, in the index and in the ledger (docs/store.md)
 
 
 Part = TypeVar("Part")
@@ -322,8 +322,9 @@
     answer, group = keep.number("answer_kb", 0, 64.0), commit.number("most_kb", 1, 1024.0)
     if answer > 4096 or answer * 1024 > segment * 1024 * 1024 / 2:
         raise ConfigError(f"keep.answer_kb: want at most 4096 and half of segment_mb; got {answer:g}")
-    keys_kept = int(keep.number("most_keys", 1, 100_000))
-    if keys_kept * KEY_BYTES > config.limits.memory_mb * 1024 * 1024 / 2:
+    fitting = config.limits.memory_mb * 1024 * 1024 // 2 // KEY_BYTES
+    keys_kept = int(keep.number("most_keys", 1, min(100_000, fitting)))
+    if keys_kept > fitting:
         raise ConfigError(f"keep.most_keys: {keys_kept} keys would take more than half of limits.memory_mb "
                           f"({config.limits.memory_mb})")
     failure = keys.text("when_it_cannot_write", "refuse")
--- a/slipbay/core/keeper.py
+++ b/slipbay/core/keeper.py
@@ -104,6 +104,7 @@
         self._waiters: dict[bytes, list[Waiter]] = {}
         self._waiting = self._waiting_bytes = 0
         self._flush_due = False
+        self._unwritten: set[bytes] = set()  # keys of the store whose last changes failed to be written
         self._runners: dict[bytes, Request] = {}
         self._engines: dict[bytes, Known] = {}
         self._inquirers: dict[str, Inquirer] = {}
@@ -441,7 +442,8 @@
 
     def _written(self, changes: list[Change], problem: StoreError | None) -> None:
         if problem is not None:
-            log("store", f"{len(changes)} changes were not written: {problem}")
+            log("store", f"{len(changes)} changes were not written, and will be: {problem}")
+            self._unwritten.update(key for key, _ in changes)
             self._failed()
 
     def _failed(self) -> None:
@@ -452,6 +454,9 @@
     def _sweep(self) -> None:
         if self._ledger is not None:
             self._write(self._ledger.expire(self._clock.now()))
+            if self._unwritten and not self._writer.health.problem:
+                keys, self._unwritten = self._unwritten, set()
+                self._write(self._ledger.rewrite(keys))
         self._timers.after(SWEEP_US, self._sweep)
 
     def figures(self) -> Mapping[str, object]:
--- a/slipbay/ledger/life.py
+++ b/slipbay/ledger/life.py
@@ -193,6 +193,20 @@
             changes += self.forget(self.entries[key])
         return changes
 
+    def rewrite(self, keys: Iterable[bytes]) -> list[Change]:
+        """What the store should hold now under keys whose changes it could not write when they were made.
+
+        Answers are not kept in memory, so one that was not written is lost: a repeat is told that it has run.
+        """
+        changes = list[Change]()
+        for key in sorted(keys):  # answers first, as their loss shows in the record of the request
+            entry = self.entries.get(key[1:])
+            if entry is not None and key[:1] == ANSWER:
+                entry.answer_bytes = -1
+            held = entry is not None and entry.written and key[:1] == REQUEST
+            changes.append(self._record(entry) if held and entry is not None else (key, None))
+        return changes
+
     def _end(self, entry: Entry, fate: Fate, told: bool, now: int) -> bool:
         """False where it is held with this fate already, or its key was freed."""
         if self.entries.get(entry.key) is not entry or entry.fate in (fate, Fate.SERVED):
--- a/slipbay/store/disk.py
+++ b/slipbay/store/disk.py
@@ -82,9 +82,16 @@
         return sorted(entry.name for entry in os.scandir(self.path) if entry.is_file(follow_symlinks=False))
 
     def read(self, name: str, offset: int = 0, length: int = -1) -> bytes:
-        with open(self.path / name, "rb") as file:
-            file.seek(offset)
-            return file.read(length)
+        fd = os.open(self.path / name, os.O_RDONLY | os.O_CLOEXEC)
+        try:  # in one call where it can be: joining pieces would hold up the other threads
+            size = max(0, os.fstat(fd).st_size - offset)
+            wanted = size if length < 0 else min(length, size)
+            data = os.pread(fd, wanted, offset)
+            while len(data) < wanted and (more := os.pread(fd, wanted - len(data), offset + len(data))):
+                data += more
+            return data
+        finally:
+            os.close(fd)
 
     def create(self, name: str) -> Handle:
         return FileHandle(self.path / name)
--- a/slipbay/store/engine.py
+++ b/slipbay/store/engine.py
@@ -31,6 +31,7 @@
 
 _MOVES = 1000  # entries of the index that a step moves
 _SYNC_BYTES = 1024 * 1024  # of a compacted segment, after which it is synced
+_PARTS = 64  # of the index; a power of two
 _CHUNK = 2000  # records that opening reads before it lets another thread go on
 
 Change = tuple[bytes, bytes | None]  # key, and its value or None to delete it
@@ -83,7 +84,8 @@
         self._next_number = 1
         self._handle: Handle | None = None
         self._size = 0  # bytes of the active segment that count
-        self._index: dict[bytes, int] = {}
+        # In parts, as a table that grows is copied while all other threads stand still
+        self._index: list[dict[bytes, int]] = [{} for _ in range(_PARTS)]
         self._live: dict[int, int] = {}  # bytes of live records, by segment
         self._merge: Iterator[None] | None = None
         self._switched = False  # the compaction under way has switched manifests
@@ -121,19 +123,20 @@
                 continue
             self.sequence, self._size = scan.last, scan.end
             self.found.torn_bytes += torn
-        self.found.records = len(self._index)
+        self.found.records = len(self)
 
     def _take_in(self, number: int, records: Iterable[Record]) -> None:
         """Later records of a key replace earlier ones."""
         index, live = self._index, self._live
         place, added = number << _SEGMENT_AT, 0
-        for record in records:
-            if record.value is None:
-                old = index.pop(record.key, 0)
+        for _, key, value, offset, inner, length in records:
+            part = index[hash(key) & _PARTS - 1]
+            if value is None:
+                old = part.pop(key, 0)
             else:
-                old = index.get(record.key, 0)
-                index[record.key] = _place(place, record)
-                added += record.length
+                old = part.get(key, 0)
+                part[key] = place | offset << _OFFSET_AT | inner + 1 << _INNER_AT | length
+                added += length
             if old:
                 if old >> _SEGMENT_AT == number:
                     added -= old & _LENGTH
@@ -291,7 +294,7 @@
         try:
             handle.append(frame.head(number, merged[0].base))
             end, raw, unsynced = frame.HEAD_BYTES, 0, 0
-            for frames in self._living(merged):
+            for frames in self._living(merged, plan.copies(self.used_bytes, self.bounds)):
                 if frames:
                     data = frame.block(b"".join(item for _, _, item in frames))
                     inner = 0
@@ -316,8 +319,9 @@
         self._switch(self._manifest.merged(count, into if moved else None))
         self._switched = True  # from here on it must be finished: the index names files that no longer count
         for position, (key, old, new) in enumerate(moved):
-            if self._index.get(key) == old:  # else it was written or deleted meanwhile
-                self._index[key] = new
+            part = self._index[hash(key) & _PARTS - 1]
+            if part.get(key) == old:  # else it was written or deleted meanwhile
+                part[key] = new
                 self._live[old >> _SEGMENT_AT] -= old & _LENGTH
                 self._live[number] += new & _LENGTH
             if position % _MOVES == _MOVES - 1:
@@ -328,23 +332,22 @@
         self._remove(segment.name for segment in (*merged, *([] if moved else [into])))
         self.totals.compactions += 1
 
-    def _living(self, segments: tuple[Segment, ...]) -> Iterator[list[tuple[bytes, int, bytes]]]:
-        """Key, place and frame of what lives in sealed segments, in the order in which it was written."""
-        index = self._index
+    def _living(self, segments: tuple[Segment, ...],
+                enough: int) -> Iterator[list[tuple[bytes, int, bytes]]]:
+        """Key, place and frame of what lives in segments, as it was written, so many records at a time."""
         for segment in segments:
             place, last = segment.number << _SEGMENT_AT, segment.base
             blocks, data = _Blocks(self._disk), self._disk.read(segment.name, 0, segment.end)
             at = frame.HEAD_BYTES
             while at < segment.end:
-                scan = frame.scan(data, at, segment.end, last, not segment.compacted,
-                                  plan.copies(self.used_bytes, self.bounds))
+                scan = frame.scan(data, at, segment.end, last, not segment.compacted, enough)
                 if scan.spoilt:
                     raise Damaged(f"{segment.name}: byte {scan.end}: {scan.spoilt}")
                 at, last = scan.end, scan.last
                 found = []
                 for record in scan.records:
                     where = _place(place, record)
-                    if index.get(record.key) == where:
+                    if self._where(record.key) == where:
                         found.append((record.key, where, blocks.frame(where) if record.inner >= 0 else
                                       data[record.offset:record.offset + record.length]))
                 yield found
@@ -352,21 +355,28 @@
     # Reading
 
     def __len__(self) -> int:
-        return len(self._index)
+        return sum(map(len, self._index))
 
     def __contains__(self, key: bytes) -> bool:
-        return key in self._index
+        return self._where(key) is not None
+
+    def _where(self, key: bytes) -> int | None:
+        return self._index[hash(key) & _PARTS - 1].get(key)
 
     def get(self, key: bytes) -> bytes | None:
         """The value of a key, read from the disk. ``Damaged`` or ``OSError`` where it can't be."""
-        place = self._index.get(key)
+        place = self._where(key)
         return None if place is None else _value(_Blocks(self._disk).frame(place))
 
     def items(self, wanted: Callable[[bytes], bool] = lambda key: True) -> Iterator[tuple[bytes, bytes]]:
         """Keys that are wanted and their values, in the order in which they stand on the disk."""
-        blocks = _Blocks(self._disk)
-        for place, key in sorted((place, key) for key, place in self._index.items() if wanted(key)):
-            yield key, _value(blocks.frame(place))
+        if self._switched:
+            self._drop_merge()
+        segments = (*self._manifest.segments[:-1], replace(self._manifest.active, end=self._size))
+        for frames in self._living(segments, _CHUNK):
+            for key, _, data in frames:
+                if wanted(key):
+                    yield key, _value(data)
 
     @property
     def used_bytes(self) -> int:
--- a/slipbay/store/frame.py
+++ b/slipbay/store/frame.py
@@ -118,7 +118,7 @@
     """
     records: list[Record] = []
     unpack, most = FRAME.unpack_from, MOST_KEY_BYTES + MOST_BLOCK_BYTES
-    add = records.append
+    add, new = records.append, Record._make  # names of this function's own: the loop runs for every record
     while at < end:
         if len(records) >= enough:
             return Scan(records, at, last, "", more=True)
@@ -146,8 +146,7 @@
         if kind > DELETE:
             return Scan(records, at, last, f"kind {kind} is not known")
         key_end = key_start + key_length
-        add(Record(sequence, data[key_start:key_end], None if kind else data[key_end:stop], at, -1,
-                   stop - at))
+        add(new((sequence, data[key_start:key_end], None if kind else data[key_end:stop], at, -1, stop - at)))
         last, at = sequence, stop
     return Scan(records, at, last, "")
 
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -209,6 +209,28 @@
     run(test)
 
 
+def test_an_end_that_the_disk_did_not_take_is_written_once_it_can(tmp_path: Path, disk: SlowDisk) -> None:
+    """Guards against an intent that stays open for good because its end fell into a failure of the disk."""
+    async def test() -> None:
+        engine = Held()
+        async with Loopback(engine, store_file=store_file(tmp_path, commit="{ retry_ms = 1 }")) as net:
+            client, keeper = await net.client(), net.router.keeper
+            assert keeper is not None
+            client.query("ticket-load", "INSERT INTO sales_1.t VALUES (1)", txn=TXN, limit=5000)
+            await until(lambda: engine.loads() == 1)
+            disk.dead = True
+            engine.free.set()
+            assert "result" in await client.answer()
+            await until(lambda: bool(keeper._unwritten))
+            assert "result" not in await load(await net.client())  # its answer was lost with the write
+            disk.dead = False
+            await until(lambda: keeper.ready and not keeper._unwritten)
+        records = survey(disk).records
+        assert [b"served" in value for value in records.values()] == [True] and engine.loads() == 1
+
+    run(test)
+
+
 def test_where_the_file_says_so_a_failing_disk_ends_the_router(tmp_path: Path, disk: SlowDisk) -> None:
     async def test() -> None:
         file = store_file(tmp_path, when_it_cannot_write='"stop"')
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -210,6 +210,19 @@
     assert ledger.serve(entry, b"others", False, 6) == [] and ledger.fail(entry, True, 6) == []
 
 
+def test_what_could_not_be_written_is_written_as_it_is_then() -> None:
+    ledger, store = ended()
+    entry = ledger.entries[b"k"]
+    changes = ledger.rewrite([b"rk", ANSWER + b"k", b"rgone"])
+    assert [(key, value is None) for key, value in changes] == [
+        (ANSWER + b"k", True), (b"rgone", True), (b"rk", False)]
+    apply(store, changes)
+    assert entry.answer_bytes == -1 and ledger.ask(b"k", ONE, True, 9) is Verdict.ANSWER_GONE
+    again = Ledger()
+    again.load(store.items())
+    assert again.ask(b"k", ONE, True, 9) is Verdict.ANSWER_GONE
+
+
 def test_an_intent_that_is_given_up_before_it_is_durable_lets_nothing_leave() -> None:
     ledger, store = Ledger(), dict[bytes, bytes]()
     ledger.ask(b"k", ONE, True, 0)
