--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -30,7 +30,7 @@
 
 from slipbay.ledger.life import Intent, Ledger
 from slipbay.store import plan
-from slipbay.store.disk import Folder
+from slipbay.store.disk import FileHandle, Folder
 from slipbay.store.engine import Store
 from slipbay.store.frame import StoreError
 from slipbay.store.writer import SWITCH_S, Grouping, Writer
@@ -267,8 +267,21 @@
                f"under 64 open appends {writing:.1f} ms")
 
 
-async def loads(folder: Path) -> None:
+def slower_syncs(ms: float) -> None:
+    """Each sync takes so much longer from here on, as on disks slower than this one."""
+    sync = FileHandle.sync
+
+    def slow(handle: FileHandle) -> None:
+        sync(handle)
+        time.sleep(ms / 1000)
+
+    FileHandle.sync = slow  # type: ignore[method-assign, assignment]
+
+
+async def loads(folder: Path, name: str) -> None:
     """What a ticket-load gains on loopback, one after the other, against a commit alone."""
+    folder = folder / name.replace(" ", "-")
+    folder.mkdir()
     from loopback import Loopback, StandInEngine
     from routers import store_file
 
@@ -291,7 +304,7 @@
     _, latencies, _ = await drive(appender, 1, 2)
     appender.close()
     commit = percentile(latencies, 0.5)
-    click.echo(f"ticket-load        {off:.2f} ms with the store off, {on:.2f} ms on: "
+    click.echo(f"ticket-load        {name}: {off:.2f} ms with the store off, {on:.2f} ms on: "
                f"{(on - off) / commit:.1f} commits of {commit:.2f} ms")
 
 
@@ -310,7 +323,9 @@
         recovery(place)
         ledger_recovery()
         asyncio.run(pauses(place / str(10**5), seconds))
-        asyncio.run(loads(place))
+        asyncio.run(loads(place, "this disk"))
+        slower_syncs(2)
+        asyncio.run(loads(place, "2 ms more a sync"))
 
 
 if __name__ == "__main__":
