--- a/slipbay/core/keeper.py
+++ b/slipbay/core/keeper.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import sys
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from functools import partial
 from typing import Protocol
@@ -459,11 +459,6 @@
                 self._write(self._ledger.rewrite(keys))
         self._timers.after(SWEEP_US, self._sweep)
 
-    def figures(self) -> Mapping[str, object]:
-        """For a log line at the end."""
-        return {"keys": len(self._ledger.entries) if self._ledger else 0,
-                "used_bytes": self._writer.health.used_bytes}
-
 
 def pack(result: object) -> bytes:
     """A result as it is kept: what a back made, bytes or a list of packets."""
