Sort the store's dump by the key that it prints; test the first window on cold engines

Cause: records were sorted by a key with its kind in front, which the dump does not print, so the output was not in the order of the keys that a reader sees. That work sent to cold engines needs no record was claimed, and not shown.

Change: dump sorts by key, then kind; a test steps two lives beside a cold engine: each counts its first window as spent.

--- a/slipbay/cli.py
+++ b/slipbay/cli.py
@@ -127,7 +127,7 @@
     Exit code 2 where the store is damaged: then what could be read is printed.
     """
     found = _survey(directory)
-    for key, value in sorted(found.records.items()):
+    for key, value in sorted(found.records.items(), key=lambda item: (item[0][1:], item[0][:1])):
         record = _describe(key, value)
         if as_json:
             click.echo(json.dumps(record, ensure_ascii=False))
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -338,6 +338,16 @@
     assert retries(later, range(100, 102)) == 2
 
 
+def test_a_restarted_router_counts_its_first_window_on_a_cold_engine_as_spent() -> None:
+    """Rule 4: no record of the work sent to cold engines is kept, as no life relies on what it can't know."""
+    cold = api.EngineEntry(engine(1), ready_at_us=SECOND)
+    for _ in range(2):  # a life, and the one after its death
+        gateway = Gateway(RATIONED, [cold])
+        gateway.ask(1, cost=10_000)
+        assert sends(gateway.wait(gateway.now + SECOND - 100_000)) == []
+        assert len(sends(gateway.wait(gateway.now + 5 * SECOND))) == 1
+
+
 def test_what_is_read_back_errs_on_the_side_of_having_spent_more() -> None:
     memory = Remembered(((100, 1.0), (200, 1.0)), ((100, 1.0),))
     told = tally.read(tally.write(memory), 150)
