--- a/martenkeel/decide.py
+++ b/martenkeel/decide.py
@@ -216,7 +216,7 @@
             share = capacity / max(1.0, e.paces.value() / (self.paces.value() or 1.0))
             threads = e.threads + (e.others if told else 0)
             room = THREADS_PER_CORE * e.cores * share / (1 if told else self.settings.gateways)
-            # All hear of the same free threads at once: each takes its share, by lot if that is under a query.
+            # All hear of the same free threads at once: each takes its share, by lot if that is too little.
             more, lot = e.threads - e.mine + spec.threads, e.luck * spec.threads
             free = (room - e.others - e.mine) / self.settings.gateways
             full = threads >= room or told and more > free + lot
