Count on the even growth of cold engines, and open no connection only to look beside a POST

At fault: decide.py capacity(), which took a cold engine to stay at its first share for half the ramp, when the settings give its share and its ramp and half of the budget is kept back besides; back/http.py _look_again(), which dialled to look beside a POST that still had its 250 ms. Now growth is even over the ramp (RAMP_WAIT is gone; half of the budget stays in hand, which covers growth by any power of time up to the sixth); a look beside a silent POST takes an idle connection or waits for the hold to pass.

--- a/martenkeel/decide.py
+++ b/martenkeel/decide.py
@@ -38,7 +38,6 @@
 COLD_MARGIN = 0.5  # part of the cold budget that is used; turns that follow each other may share a window
 COLD_TURNS = 8  # gateways that may use a cold engine in a window, if a share each takes any query
 COLD_FIT = 1.5  # heaviest queries that such a share must take; light ones have spent some of it
-RAMP_WAIT = 0.5  # part of the ramp before growth is counted on; how it grows is not told
 WARM_BONUS = 4.0  # threads that a warm group may outweigh; reading is a part of the work only
 CROSSING = 1.5  # threads that an engine in our own zone may hold more; a query that crosses has its price
 OVERDUE = 2.0  # an attempt is moved if what is left takes so many times longer than a new start
@@ -194,8 +193,7 @@
         return now < self.pressure_until
 
     def pick(self, query: Query, now: int) -> Engine | None:
-        spec, pressed = query.cls.spec, self.pressed(now)
-        told = now - self.told_at < 2 * TELL
+        spec, pressed, told = query.cls.spec, self.pressed(now), now - self.told_at < 2 * TELL
         if pressed and not told and self.threads >= self.room and query.cls is not self.first():
             return None
         fits = [e for e in self.engines.values() if self.allowed(query, e, now)]
@@ -234,7 +232,7 @@
 
     def distance(self, e: Engine) -> tuple[bool, int]:
         """Our own zone first, and there an order of our own, so that gateways spread over all engines."""
-        return e.entry.zone != self.settings.zone, crc32(e.entry.engine, self.settings.gateway + 1)
+        return e.entry.zone != self.settings.zone, e.place
 
     def home(self, group: float) -> api.EngineId | None:
         """A group's arc of the ring is as long as its part of the queries seen: all gateways send it to the
@@ -279,10 +277,11 @@
         return fits and (self.capacity(e, now) == 1.0 or self.cold_room(query.cls, e, now))
 
     def capacity(self, e: Engine, now: int) -> float:
-        """Share of its full capacity that an engine has at the least."""
+        """Share of its full capacity that an engine has; how it grows is not told, and taken to be even."""
         start, least = max(e.entry.ready_at_us, e.down_at), self.settings.cold_share
-        grown = (now - start) / max(self.settings.ramp_us, 1)
-        return 1.0 if not start or grown >= 1 else least + (1 - least) * max(0.0, grown - RAMP_WAIT)
+        if not start or now - start >= self.settings.ramp_us:
+            return 1.0
+        return least + (1 - least) * max(0, now - start) / self.settings.ramp_us
 
     def cold_room(self, cls: ClassState, e: Engine, now: int) -> bool:
         """What a cold engine may be sent within a window is shared by the few gateways whose turn it is, as a
@@ -538,7 +537,8 @@
         elif event.kind is not api.ListKind.DELTA:
             for name in self.engines.keys() - {entry.engine for entry in event.entries}:
                 self.engines[name].leave()
+        cores, me = self.settings.kind_cores, self.settings.gateway
         for entry in event.entries:
-            e, cores = self.engines.setdefault(entry.engine, Engine(entry)), self.settings.kind_cores
+            e = self.engines.setdefault(entry.engine, Engine(entry, crc32(entry.engine, me + 1)))
             e.list_as(entry, cores[entry.kind] if entry.kind < len(cores) else 1.0)
         self.settle(now)
--- a/martenkeel/state.py
+++ b/martenkeel/state.py
@@ -57,6 +57,7 @@
     """What this gateway knows of an engine: its list entry, what it holds from us, and its symptoms."""
 
     entry: api.EngineEntry
+    place: int = 0  # in this gateway's own order of engines
     attempts: dict[tuple[int, int], Attempt] = field(default_factory=dict)
     charges: Window = field(default_factory=Window)  # work sent
     locks: dict[float, int] = field(default_factory=dict)  # groups held by loads, and until when at most
@@ -69,15 +70,15 @@
     faults: dict[ClassState, tuple[float, int]] = field(default_factory=dict)  # share; out until
     down_at: int = 0  # when it last refused or broke a connection; 0 after news of a new process
 
+    digest: int = 0  # short name in messages between gateways
     cores: float = 1.0
     others: int = 0  # threads that other gateways hold there, as last told
     mine: int = 0  # and what we held as this was told
     luck: float = 0.0  # drawn anew each time
 
-    @property
-    def digest(self) -> int:
-        """Short name in messages between gateways."""
-        return crc32(self.entry.engine) % 2**16
+
+    def __post_init__(self) -> None:
+        self.digest = crc32(self.entry.engine) % 2**16
 
     def open(self, attempt: Attempt) -> None:
         """Count an attempt as out here."""
--- a/slipbay/back/http.py
+++ b/slipbay/back/http.py
@@ -173,7 +173,14 @@
     def _pool_host(self) -> str:
         return self._pool.host
 
+    @property
+    def _silent_post(self) -> bool:
+        """Whether the POST's connection is up and its answer, which may yet come, is waited for."""
+        return self._main is not None and not self._answered and self._within_hold
+
     def _look_again(self) -> None:
+        if self._silent_post and not self._pool.idle:
+            return  # to look beside it is not worth a handshake; in a large fleet few connections are idle
         if self._wait is None and not self._over and not self._deleting:
             self._wait = self._pool.acquire(self._ask, self._unreachable, fresh=not self._within_hold)
 
@@ -189,6 +196,8 @@
             self._look_again()
         due = self._asked + patience if unasked < patience else min(
             self._back.now() + RETRY_US, self._asked + LOST_US)
+        if self._silent_post:
+            due = min(due, self._sent + HOLD_US + TRANSIT_US)
         if self._check is None and not self._over:  # an idle connection was at hand: the call set its own
             self._check = self._back.timers.at(due, self._check_on)
 
--- a/slipbay/emulator/engines.py
+++ b/slipbay/emulator/engines.py
@@ -54,8 +54,9 @@
             return 1.0
         return min(1.0, self.rule.share + (1 - self.rule.share) * (now - self.born) / self.rule.ramp_us)
 
-    def start(self, now: int, run: Run, work: float) -> int:
-        """Take an attempt whose threads together have ``work`` us to do; returns its number."""
+    def start(self, now: int, run: Run, usual: float) -> int:
+        """Take an attempt; returns its number. ``usual``: us of work that a query of its class weighs for the
+        cold budget, whatever this one does."""
         self.advance(now)
         self.count += 1
         self.runs[self.count] = run
@@ -63,8 +64,8 @@
         self.most_threads = max(self.most_threads, self.threads)
         share = self.share(now)
         if share < 1:
-            self.pushed.append((now, work))
-            self.push += work
+            self.pushed.append((now, usual))
+            self.push += usual
             while self.pushed[0][0] <= now - self.rule.window_us:
                 self.push -= self.pushed.popleft()[1]
             budget = self.rule.multiple * share * self.cores * CAPACITY * self.rule.window_us
--- a/slipbay/emulator/tier.py
+++ b/slipbay/emulator/tier.py
@@ -185,7 +185,7 @@
         self.account.attempts += 1
         run = Run(threads, WEIGHTS[self.terms.get((me, query), 1)], work / threads,
                   lambda: self._end(me, query, attempt, api.Outcome.OK))
-        self.out[me, query, attempt] = name, self.engines[name].start(self.now, run, work)
+        self.out[me, query, attempt] = name, self.engines[name].start(self.now, run, self.mix[kind].work_us)
         self._follow(name)
 
     def _follow(self, name: bytes) -> None:
