Bound what a query costs the decisions before 8, 80 and 400 engines

Need: CPU per event by engines was not measured, and no test kept it. It grows with the engines since each choice looks at all: allowed() and capacity() are most of it. The test counts calls, so that its verdict is the same on every machine.

--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import cProfile
 from dataclasses import replace
 from random import Random
+from types import CodeType
 from typing import Any
 
 import pytest
@@ -12,6 +14,7 @@
 from martenkeel import decide
 from martenkeel import interface as api
 from martenkeel.decide import Controller
+from slipbay.emulator.tier import Tier
 
 GATEWAYS = 200
 RULES = settings(gateways=GATEWAYS, cold_multiple=4.0, ramp_us=30 * SECOND)
@@ -248,3 +251,17 @@
                     for n in range(5_000))
     gateway = Gateway(settings(), entries)
     assert len(sends(gateway.ask(1))) == 1
+
+
+@pytest.mark.parametrize(("engines", "most"), [(8, 200), (80, 650), (400, 2700)])
+def test_what_a_query_costs_grows_no_faster_than_the_engines(engines: int, most: int) -> None:
+    """Guards against work for each pair of engines, or for each engine at each event. Counted are calls of
+    the decisions' functions for a query and all that follows from it: 147, 530 and 2,224 at first."""
+    tier = Tier(3, engines)
+    tier.load(2, 0.7 * 8 / engines)
+    asked = tier.account.came.total()
+    with cProfile.Profile() as profile:
+        tier.load(4, 0.7 * 8 / engines)
+    calls = sum(entry.callcount for entry in profile.getstats()
+                if isinstance(entry.code, CodeType) and "martenkeel" in entry.code.co_filename)
+    assert calls < most * (tier.account.came.total() - asked)
