Give the wiring of a router a module of its own, and forbid import circles by a test

Need: __main__.py and cli.py imported each other, and config.py took a type from stream.py, so that the packages formed no staircase and a reader of the configuration loaded the networking code. Change: run.py holds the router's wiring (moved as it was), __main__.py and cli.py stand above it; Address lives in address.py, below both. A test walks all imports, those within functions too, and fails where modules need each other. No behaviour changes.

--- a/slipbay/back/pool.py
+++ b/slipbay/back/pool.py
@@ -9,9 +9,10 @@
 from typing import Generic, TypeVar
 
 from martenkeel.interface import EngineId
+from slipbay.address import Address
 from slipbay.core.timers import Timer, Timers
 from slipbay.log import log
-from slipbay.stream import Address, Dial, Dialer, Stream
+from slipbay.stream import Dial, Dialer, Stream
 
 SWEEP_US = 1_000_000
 ANSWER_US = 1_000_000  # for calls that engines answer at once
--- a/slipbay/cli.py
+++ b/slipbay/cli.py
@@ -27,7 +27,7 @@
 @main.command()
 def serve() -> None:
     """Run a router, as `python -m slipbay` does. GW_CONFIG names its configuration."""
-    from slipbay.__main__ import serve_until_end
+    from slipbay.run import serve_until_end
     sys.exit(serve_until_end())
 
 
--- a/slipbay/config.py
+++ b/slipbay/config.py
@@ -13,7 +13,7 @@
 
 from martenkeel import interface as api
 from martenkeel.wire import MalformedFrame, settings_from
-from slipbay.stream import Address
+from slipbay.address import Address
 from slipbay.wire.spiffe import InvalidId, check_id
 
 DEFAULT_MEMORY_MB, DEFAULT_SOCKETS = 192, 1024
--- a/slipbay/feed/journal.py
+++ b/slipbay/feed/journal.py
@@ -8,11 +8,12 @@
 from typing import Any, TypeAlias
 
 from martenkeel import interface as api
+from slipbay.address import Address
 from slipbay.config import Config, ConfigError, address
 from slipbay.core.router import Host
 from slipbay.core.timers import Timer, Timers
 from slipbay.log import log
-from slipbay.stream import Address, Dial, Dialer, Stream
+from slipbay.stream import Dial, Dialer, Stream
 from slipbay.wire.lines import Lines, LineTooLong
 
 STATES = {"SERVING": api.EngineState.READY, "DRAINING": api.EngineState.DRAINING,
--- a/slipbay/feed/peers.py
+++ b/slipbay/feed/peers.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable
 from typing import cast
 
+from slipbay.address import Address
 from slipbay.config import Config
 from slipbay.log import log
-from slipbay.stream import Address
 
 MOST_BYTES = 256
 
--- a/slipbay/front/server.py
+++ b/slipbay/front/server.py
@@ -5,10 +5,11 @@
 import asyncio
 from collections.abc import Callable
 
+from slipbay.address import Address
 from slipbay.config import Limits
 from slipbay.core.timers import Timers
 from slipbay.log import log
-from slipbay.stream import Address, Stream
+from slipbay.stream import Stream
 
 IDLE_US = 6_000_000  # clients close theirs after 4 s; this is for those that hold on to it for good
 FIRST_US = 2_000_000  # a client that says nothing whole for so long after it came is let go
--- /dev/null
+++ b/slipbay/run.py
@@ -0,0 +1,165 @@
+"""The wiring of a router: all its parts, from its start until its end."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+from collections.abc import Mapping
+from dataclasses import fields
+from typing import TYPE_CHECKING
+
+from martenkeel import Controller
+from martenkeel import interface as api
+from slipbay.back.http import HttpBack
+from slipbay.back.mysql import MysqlBack
+from slipbay.back.pool import Sockets
+from slipbay.clock import Clock
+from slipbay.config import Config, ConfigError, StoreConfig, load, store_changes
+from slipbay.core.router import Core, Host
+from slipbay.core.timers import Timers
+from slipbay.feed.journal import Journal
+from slipbay.feed.peers import Peers
+from slipbay.front.jsonrpc import JsonRpcConnection, JsonRpcFront
+from slipbay.front.mysql import MysqlConnection, MysqlFront
+from slipbay.front.server import Server
+from slipbay.log import log
+from slipbay.stream import Dialer
+
+if TYPE_CHECKING:
+    from slipbay.core.keeper import Keeper
+
+LINGER_US = 700_000  # after SIGTERM, how long requests are still taken
+
+
+class Router:
+    """All parts of one query router."""
+
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+        self.config = config
+        self.clock = Clock(loop)
+        self.timers = Timers(loop, self.clock)
+        self.dialer = Dialer(loop, self.timers)
+        decider = Controller(config.settings, config.seed)
+        self.core = Core(loop, self.clock, self.timers, decider, config.settings, config.max_open,
+                         config.limits.request_bytes)
+        sockets = Sockets(config.limits.engine_sockets)
+        self.back = HttpBack(config, self.timers, self.dialer, sockets, self.clock.now)
+        self.core.backs.append(self.back)
+        self.mysql_back: MysqlBack | None = None
+        if config.mysql is not None:
+            self.mysql_back = MysqlBack(
+                config, config.mysql, self.timers, self.dialer, sockets, self.clock.now)
+            self.core.backs.append(self.mysql_back)
+        self.journal = Journal(config, self.timers, self.dialer, self._listed)
+        self.peers = Peers(config, lambda sender, body: self.core.tell(api.PeerMessage(sender, body)))
+        self.core.tell_peers = self.peers.send
+        self.keeper: Keeper | None = None
+        if config.store is not None:
+            self.keeper = self._make_keeper(config.store, decider, loop)
+        self.server = Server(self.timers, config.limits, self.clock.now)
+        self._has_list = False
+        self._ending = False
+        self.done = asyncio.Event()
+
+    def _make_keeper(self, store: StoreConfig, decider: Controller,
+                     loop: asyncio.AbstractEventLoop) -> Keeper:
+        """What it needs is loaded here, as most routers run without it."""
+        try:
+            from slipbay.core.keeper import Keeper, open_writer
+        except ImportError as problem:
+            raise ConfigError(f"store.toml: want the extra packages of slipbay[store]: {problem}") from None
+        keeper = Keeper(store, self.core, self.clock, self.timers, open_writer(store, loop), decider.memory,
+                        self.end)
+        self.core.guardian = keeper
+        return keeper
+
+    def _listed(self, kind: api.ListKind, hosts: list[Host]) -> None:
+        self._has_list = self._has_list or bool(hosts)
+        if self.keeper is not None:
+            self.keeper.listed(kind, hosts)
+        for back in self.core.backs:
+            back.listed(kind, hosts)
+        self.core.tell(api.EngineList(kind, tuple(host.entry for host in hosts)))
+
+    def well(self) -> bool:
+        """Whether the front may send us clients."""
+        return self.server.listening and self._has_list and not self._ending
+
+    async def start(self) -> None:
+        await self.peers.start()
+        self.journal.start()
+        if self.keeper is not None:
+            self.keeper.start([self.back, *([self.mysql_back] if self.mysql_back is not None else [])])
+        front = JsonRpcFront(self.config, self.core, self.back, self.well)
+        await self.server.listen(self.config.listen, lambda: JsonRpcConnection(self.server, front))
+        if self.config.mysql is not None and self.mysql_back is not None:
+            mysql_front = MysqlFront(self.config, self.config.mysql, self.core, self.mysql_back)
+            await self.server.listen(self.config.mysql.listen,
+                                     lambda: MysqlConnection(self.server, mysql_front))
+        listens = [self.config.listen, *([self.config.mysql.listen] if self.config.mysql is not None else [])]
+        log("start", f"{self.config.name} listens at " + ", ".join(
+            f"{address[0]}:{port}" for address, port in zip(listens, self.server.ports, strict=True)))
+
+    def reload(self, environment: Mapping[str, str]) -> None:
+        """SIGHUP: read and check the whole configuration; only ``journal`` changes in a running router."""
+        try:
+            new = load(environment)
+        except ConfigError as problem:
+            log("reload", f"bad configuration, the old one stays: {problem}")
+            return
+        # compared as they were read: the positions known at a start mean nothing to a running router
+        changed = [item.name for item in fields(new) if item.name not in ("journal", "known", "store")
+                   and getattr(new, item.name) != getattr(self.config, item.name)]
+        changed += store_changes(self.config.store, new.store)
+        log("reload", "the configuration was read again" + (
+            f"; takes effect at the next start: {', '.join(changed)}" if changed else ""))
+        if self.keeper is not None and new.store is not None:
+            self.keeper.reload(new.store)
+        self.journal.follow(new.journal)
+
+    def end(self) -> None:
+        """SIGTERM: take requests a little longer, answer all that were taken, then leave."""
+        if not self._ending:
+            self._ending = True
+            log("end", "asked to end")
+            self.timers.after(LINGER_US, self._leave)
+
+    def _leave(self) -> None:
+        self.server.emptied = self.core.idle = self._maybe_done
+        self.server.leave(max(spec.deadline_us for spec in self.config.settings.classes))
+
+    def _maybe_done(self) -> None:
+        if not self.server.connections and not self.core.requests:
+            self.done.set()
+
+
+async def serve(config: Config) -> None:
+    loop = asyncio.get_running_loop()
+    router = Router(config, loop)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, router.end)
+    loop.add_signal_handler(signal.SIGHUP, router.reload, os.environ)
+    await router.start()
+    gc.collect()
+    gc.freeze()  # what lives from start to end is not looked through again
+    await router.done.wait()
+    router.peers.close()
+    if router.keeper is not None:
+        router.keeper.close()
+
+
+def serve_until_end() -> int:
+    """Run a router; the exit code is 0 after SIGTERM, 2 for a bad configuration, 1 where it can't start."""
+    try:
+        config = load(os.environ)
+        asyncio.run(serve(config))
+    except ConfigError as problem:
+        print(f"slipbay: bad configuration: {problem}", file=sys.stderr)
+        return 2
+    except OSError as problem:
+        print(f"slipbay: cannot start: {problem}", file=sys.stderr)
+        return 1
+    return 0
--- a/slipbay/stream.py
+++ b/slipbay/stream.py
@@ -8,10 +8,9 @@
 from collections import deque
 from collections.abc import Callable
 
+from slipbay.address import Address
 from slipbay.core.timers import Timers
 
-Address = tuple[str, int]
-
 RECEIVE_BYTES = 64 * 1024
 _RECEIVE = bytearray(RECEIVE_BYTES)
 _VIEW = memoryview(_RECEIVE)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -14,8 +14,8 @@
 from typing import Any
 
 from martenkeel import Controller
-from slipbay.__main__ import Router
 from slipbay.config import Config, from_json, load_mysql, load_store
+from slipbay.run import Router
 
 HOST = "127.0.0.1"
 TXN = "9b1f03aa5c7e2d41"
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -121,7 +121,7 @@
 
 def test_a_router_without_a_store_loads_nothing_of_it() -> None:
     """It would cost memory that the platform counts, and packages that it may not have."""
-    code = ("import sys, slipbay.__main__\n"
+    code = ("import sys, slipbay.run\n"
             "print(sorted({'click', 'msgpack', 'zstandard', 'google_crc32c', 'slipbay.core.keeper'}"
             " & set(sys.modules)))")
     told = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -46,3 +46,17 @@
     ran = subprocess.run([sys.executable, "-c", example[1]], cwd=ROOT, capture_output=True, text=True,
                          timeout=60, check=True)
     assert ran.stdout == example[2]
+
+
+def test_no_module_imports_another_that_needs_it() -> None:
+    """The packages form one staircase; imports within functions count too."""
+    needs = {}
+    for file in [*(ROOT / "slipbay").rglob("*.py"), *(ROOT / "martenkeel").rglob("*.py")]:
+        name = ".".join(file.relative_to(ROOT).with_suffix("").parts)
+        needs[name] = {found for node in ast.walk(ast.parse(file.read_text()))
+                       if isinstance(node, ast.ImportFrom) and node.module
+                       for found in [node.module, *(f"{node.module}.{alias.name}" for alias in node.names)]}
+    left = set(needs)
+    while steps := {name for name in left if not (needs[name] & left) - {name}}:
+        left -= steps
+    assert not left, f"these import each other, or stand on those that do: {sorted(left)}"
