Keep a view of the fleet among the routers: SWIM with Lifeguard, as a machine without I/O

Need: a router knows its peers as addresses in its configuration and nothing else, and divides every limit by their configured number; with five of eight killed the rest use three eighths (docs/fleet.md). The decisions take FleetSize.

--- a/martenkeel/decide.py
+++ b/martenkeel/decide.py
@@ -55,7 +55,7 @@
     """One gateway. Shares nothing with others; time comes in with the events."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.settings, self.random = settings, Random(seed)
+        self.settings, self.random, self.gateways = settings, Random(seed), settings.gateways
         self.classes = [ClassState(spec) for spec in settings.classes]
         self.engines: dict[api.EngineId, Engine] = {}
         self.queries: dict[int, Query] = {}
@@ -97,6 +97,8 @@
                 case api.Remembered(taken, extras):  # the ration goes on where an earlier life left it
                     self.taken.recall(taken)
                     self.extras.recall(extras)
+                case api.FleetSize(gateways):  # shares follow the living; turns keep to the numbers of all
+                    self.gateways = gateways
                 case api.TimerFired(token) if token in self.timers:
                     self.timers.pop(token)(now)
         self.release(now)
@@ -134,24 +136,22 @@
         """Whether the bound says nothing: the class has nothing here, so that its share has added up, or the
         rate is still that of the first query, which a light one sets far too low, and threads are free."""
         free = self.threads + cls.spec.threads <= self.room and not any(c.queue for c in self.classes)
-        early = now - self.started < LEARNING and free
-        return not self.pressed(now) and (early or len(cls.present) == 1)
+        return not self.pressed(now) and (len(cls.present) == 1 or free and now - self.started < LEARNING)
 
     def predict(self, cls: ClassState, now: int) -> None:
         """Eq. 8 of the paper plus b_delta. Exceptions: work on engines judged ill and work that notes tell is
         done leave the running sum; t1, tN are those of held queries, as a long query alone is no backlog."""
-        out = (attempt for query in cls.present.values() for attempt in query.out.values())
-        running = sum(a.query.cost * a.left for a in out if not a.engine.ill)
+        out = sum(q.cost * a.left for q in cls.present.values() for a in q.out.values() if not a.engine.ill)
         age = now - (cls.queue[0].arrived + cls.queue[-1].arrived) / 2 if cls.queue else 0.0
         target = AIM_SHARE * cls.spec.aim_us + cls.run_time(cls.usual)
-        forward = 2 * cls.rate / SECOND * (target - age) - running
+        forward = 2 * cls.rate / SECOND * (target - age) - out
         cls.bound = min(max(forward + cls.delta, 0.0), QUEUE_LIMIT * cls.largest)
 
     def reset(self, now: int) -> None:
         """Learn rho (finishing tells of draining only while work is held), step the PI law, predict."""
         self.tidy(now)
         self.settle(now)
-        free = self.room * self.settings.gateways - sum(e.threads + e.others for e in self.engines.values())
+        free = self.room * self.gateways - sum(e.threads + e.others for e in self.engines.values())
         free *= now - self.told_at < 2 * TELL and not self.pressed(now)  # may drain ours, beside our share
         threads = max(self.room, self.threads + free)
         potential = threads / THREADS_PER_CORE * CORE_WORK * SECOND / max(1.0, self.paces.value())
@@ -215,10 +215,10 @@
             capacity = self.capacity(e, now)  # under 1: cold with room for us now, as for few: so we use it
             share = capacity / max(1.0, e.paces.value() / (self.paces.value() or 1.0))
             threads = e.threads + (e.others if told else 0)
-            room = THREADS_PER_CORE * e.cores * share / (1 if told else self.settings.gateways)
+            room = THREADS_PER_CORE * e.cores * share / (1 if told else self.gateways)
             # All hear of the same free threads at once: each takes its share, by lot if that is too little.
             more, lot = e.threads - e.mine + spec.threads, e.luck * spec.threads
-            free = (room - e.others - e.mine) / self.settings.gateways
+            free = (room - e.others - e.mine) / self.gateways
             full = threads >= room or told and more > free + lot
             if pressed and full and not (told and query.cls is self.first()):
                 continue
@@ -258,7 +258,7 @@
     def settle(self, now: int) -> None:
         ready = [e for e in self.engines.values() if e.entry.state is EngineState.READY]
         cores = sum(e.cores * self.capacity(e, now) for e in ready if not e.ill)
-        self.room = THREADS_PER_CORE * cores / self.settings.gateways
+        self.room = THREADS_PER_CORE * cores / self.gateways
         self.ready = len(ready)
         near = [e for e in ready if e.entry.zone == self.settings.zone] or ready
         self.ring = sorted((e.entry.engine for e in near), key=crc32)
@@ -301,7 +301,7 @@
     def tell(self, now: int, body: bytes = b"") -> None:
         """All tell the gateway whose turn it is the threads they hold; it tells the sums if it heard most."""
         period = now // TELL
-        turn, me, gateways = period % self.settings.gateways, self.settings.gateway, self.settings.gateways
+        turn, me, gateways = period % self.settings.gateways, self.settings.gateway, self.gateways
         if period != self.peers.period:
             held = self.peers.begin(period, self.engines.values())
             self.actions += [api.TellPeers(held, turn)] if turn != me else []
--- a/martenkeel/interface.py
+++ b/martenkeel/interface.py
@@ -272,8 +272,15 @@
     extras: tuple[tuple[int, float], ...] = ()  # further attempts
 
 
+@dataclass(slots=True, frozen=True)
+class FleetSize:
+    """How many gateways share what belongs to all, where a host knows better than the settings."""
+
+    gateways: int
+
+
 Event: TypeAlias = (EngineList | QueryArrived | StreamBegun | AttemptNote | AttemptEnded | QueryGone
-                    | TimerFired | ProbeEnded | PeerMessage | Remembered)
+                    | TimerFired | ProbeEnded | PeerMessage | Remembered | FleetSize)
 
 # Actions
 
--- a/slipbay/cli.py
+++ b/slipbay/cli.py
@@ -7,13 +7,15 @@
 import json
 import os
 import sys
+import time
 from collections import Counter
 from pathlib import Path
 from typing import Any
 
 import click
 
-from slipbay.config import ConfigError, load
+from slipbay.config import ConfigError, address, load
+from slipbay.fleet.settings import load_fleet
 
 DIRECTORY = click.Path(exists=True, file_okay=False, path_type=Path)
 
@@ -35,19 +37,22 @@
 @click.option("--config", type=click.Path(path_type=Path), help="In place of GW_CONFIG.")
 @click.option("--mysql", type=click.Path(path_type=Path), help="In place of SLIPBAY_MYSQL.")
 @click.option("--store", type=click.Path(path_type=Path), help="In place of SLIPBAY_STORE.")
-def check(config: Path | None, mysql: Path | None, store: Path | None) -> None:
+@click.option("--fleet", type=click.Path(path_type=Path), help="In place of SLIPBAY_FLEET.")
+def check(config: Path | None, mysql: Path | None, store: Path | None, fleet: Path | None) -> None:
     """Read and check all configuration files; nothing is started or written.
 
     Exit code 0 where a router would start with them, 2 with the file and key at fault.
     """
     environment = dict(os.environ)
-    for name, path in (("GW_CONFIG", config), ("SLIPBAY_MYSQL", mysql), ("SLIPBAY_STORE", store)):
+    for name, path in (("GW_CONFIG", config), ("SLIPBAY_MYSQL", mysql), ("SLIPBAY_STORE", store),
+                       ("SLIPBAY_FLEET", fleet)):
         if path is not None:
             environment[name] = str(path)
             if name != "GW_CONFIG" and not path.exists():
                 _fail(f"bad configuration: {path}: there is no such file")
     try:
         found = load(environment)
+        view = load_fleet(found, environment)
     except ConfigError as problem:
         _fail(f"bad configuration: {problem}")
     click.echo(f"{environment['GW_CONFIG']}: good; "
@@ -55,6 +60,8 @@
     click.echo("the MySQL front is " + (
         f"on, at {found.mysql.listen[0]}:{found.mysql.listen[1]}" if found.mysql else "off"))
     click.echo("the durable store is " + (f"on, in {found.store.folder}" if found.store else "off"))
+    click.echo("the view of the fleet is " + (
+        f"on, {'signed' if view.key else 'unsigned'}, build {view.build}" if view else "off"))
 
 
 def _fail(text: str, code: int = 2) -> Any:
@@ -208,5 +215,61 @@
             "value_base64": base64.b64encode(value).decode()}
 
 
+@main.group()
+def fleet() -> None:
+    """Look at the fleet as a running router sees it (docs/operate-fleet.md)."""
+
+
+def _ask(target: str, seconds: float) -> Any:
+    from slipbay.fleet.asking import NoAnswer, ask
+    try:
+        return ask(address(target, "ADDRESS"), seconds)
+    except (ConfigError, NoAnswer, OSError) as problem:
+        _fail(str(problem), 1)
+
+
+def _table(view: dict[str, Any]) -> str:
+    zones = ", ".join(f"{name} {count}" for name, count in sorted(view["zones"].items()))
+    numbers = "".join(f"\n{name:<10} {', '.join(map(str, view[name]))}"
+                      for name in ("suspect", "gone", "left") if view[name])
+    odd = ", ODD ONE OUT" if view["odd_one_out"] else ""
+    return (f"router     {view['name']} (number {view['number']}), view {view['version']}, "
+            f"health {view['health']}{odd}\n"
+            f"living     {view['living']} of {view['configured']}, by zone: {zones}\n"
+            f"shares of  {view['shares_of']}\nbuilds     {', '.join(map(str, view['builds']))}{numbers}")
+
+
+@fleet.command("status")
+@click.argument("target", metavar="ADDRESS")
+@click.option("--json", "as_json", is_flag=True, help="The whole view, counters too, as one JSON object.")
+@click.option("--seconds", default=1.0, show_default=True, help="How long to wait for the answer.")
+def fleet_status(target: str, as_json: bool, seconds: float) -> None:
+    """The view of the router whose peers' ADDRESS this is, as 127.0.0.4:7946, asked from its own machine.
+
+    Exit code 0; 1 without an answer; 3 where the router holds itself to be cut off.
+    """
+    view = _ask(target, seconds)
+    click.echo(json.dumps(view) if as_json else _table(view))
+    sys.exit(3 if view["odd_one_out"] else 0)
+
+
+@fleet.command("watch")
+@click.argument("target", metavar="ADDRESS")
+@click.option("--every", default=1.0, show_default=True, help="Seconds between looks.")
+@click.option("--count", default=0, help="Looks until it ends; 0: until it is interrupted.")
+def fleet_watch(target: str, every: float, count: int) -> None:
+    """A line for each change of a router's view."""
+    before, looks = None, 0
+    while not count or looks < count:
+        looks += 1
+        view = _ask(target, every)
+        shown = {key: view[key] for key in ("living", "suspect", "gone", "left", "odd_one_out")}
+        if shown != before:
+            told = " ".join(f"{key}={value}" for key, value in shown.items())
+            click.echo(f"view {view['version']}: {told}")
+        before = shown
+        time.sleep(every)
+
+
 if __name__ == "__main__":
     main()
--- a/slipbay/config.py
+++ b/slipbay/config.py
@@ -279,12 +279,12 @@
 
 def load_mysql(config: Config, path: Path) -> MysqlConfig | None:
     """The file that says where the MySQL front listens; None if it is absent or says ``enabled = false``."""
-    return _operator_file(path, lambda keys: _mysql(config, keys, path.parent))
+    return operator_file(path, lambda keys: _mysql(config, keys, path.parent))
 
 
 def load_store(config: Config, path: Path) -> StoreConfig | None:
     """The file that says where the durable store lies; None if it is absent or says ``enabled = false``."""
-    return _operator_file(path, lambda keys: _store(config, keys, path.parent))
+    return operator_file(path, lambda keys: _store(config, keys, path.parent))
 
 
 def store_changes(old: StoreConfig | None, new: StoreConfig | None) -> list[str]:
@@ -295,7 +295,7 @@
             if item.name not in CHANGEABLE and getattr(old, item.name) != getattr(new, item.name)]
 
 
-def _operator_file(path: Path, read: Callable[[Keys], Part]) -> Part | None:
+def operator_file(path: Path, read: Callable[[Keys], Part]) -> Part | None:
     """A TOML file that switches a part on; errors name file and key."""
     try:
         keys = Keys(tomllib.loads(path.read_text()))
--- a/slipbay/feed/peers.py
+++ b/slipbay/feed/peers.py
@@ -20,6 +20,7 @@
         self._config, self._told = config, told
         self._numbers = {peer: number for number, peer in enumerate(config.peers)}
         self._transport: asyncio.DatagramTransport | None = None
+        self.fleet: Callable[[int | None, bytes, Address], bool] = lambda number, data, address: False
 
     async def start(self) -> None:
         if self._config.peer_listen is not None and self._config.settings.may_tell:
@@ -31,6 +32,8 @@
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
         number = self._numbers.get((addr[0], addr[1]))
+        if self.fleet(number, data, addr):
+            return  # it was about the fleet
         if number is None:
             log("peers", "a message from an address that no peer has")
         elif number != self._config.settings.gateway and len(data) <= MOST_BYTES:
@@ -42,8 +45,12 @@
     def send(self, body: bytes, to: int | None) -> None:
         target = self._config.peers_all if to is None else (
             self._config.peers[to] if to < len(self._config.peers) else None)
-        if self._transport is not None and target is not None and len(body) <= MOST_BYTES:
-            self._transport.sendto(body, target)
+        if target is not None:
+            self.answer(body, target)
+
+    def answer(self, body: bytes, address: Address) -> None:
+        if self._transport is not None and len(body) <= MOST_BYTES:
+            self._transport.sendto(body, address)
 
     def close(self) -> None:
         if self._transport is not None:
--- /dev/null
+++ b/slipbay/fleet/speaker.py
@@ -0,0 +1,113 @@
+"""The view of a running router: its machine on the peers' socket, its log lines and its counters."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+
+from slipbay.address import Address
+from slipbay.config import Config
+from slipbay.core.timers import Timer, Timers
+from slipbay.feed.peers import Peers
+from slipbay.fleet import codec
+from slipbay.fleet.codec import Kind, State
+from slipbay.fleet.members import Change, Membership
+from slipbay.fleet.settings import FleetConfig
+from slipbay.fleet.shares import Shares
+from slipbay.log import log
+
+LINES = 8  # changes that are logged one by one; more at once are counted
+PAGE_BYTES = 200
+
+
+class Speaker:
+    """Takes the datagrams about the fleet, and tells ``resized`` how many routers share its limits."""
+
+    def __init__(self, config: Config, fleet: FleetConfig, timers: Timers, now: Callable[[], int],
+                 peers: Peers, resized: Callable[[int], None]) -> None:
+        self._config, self._fleet, self._timers, self._now, self._peers = config, fleet, timers, now, peers
+        settings = config.settings
+        self.machine = Membership(settings.gateway, len(config.peers), config.seed, config.seed, now(),
+                                  zone=settings.zone, build=fleet.build, timing=fleet.timing, key=fleet.key,
+                                  old_key=fleet.old_key)
+        self.machine.changed.append(self._changed)
+        self._shares = Shares(settings.gateways, settings.cold_window_us)
+        self._resized, self._told = resized, settings.gateways
+        self._odd = False
+        self._timer: Timer | None = None
+        peers.fleet = self._received
+
+    def start(self) -> None:
+        self._tick()
+
+    def leave(self) -> None:
+        """We end in order."""
+        self._send(self.machine.leave(self._now()))
+
+    def _tick(self) -> None:
+        now = self._now()
+        self._send(self.machine.tick(now))
+        self._count(now)
+        odd = self.machine.odd_one_out(now)
+        if odd != self._odd:
+            self._odd = odd
+            log("fleet", "we hear few, or others accuse us: it may be we who are cut off" if odd
+                else "we are heard again")
+        self._timer = self._timers.at(self.machine.next_tick(), self._tick)
+
+    def _received(self, number: int | None, data: bytes, address: Address) -> bool:
+        """Whether a datagram is about the fleet. ``number``: of the peer with that address, none for a
+        stranger."""
+        if not codec.is_ours(data):
+            return False
+        if number is not None:
+            self._send(self.machine.receive(self._now(), data, number))
+        elif self._fleet.status and address[0].startswith("127.") and data[4] & ~codec.FLAG == Kind.STATUS:
+            for page in self._pages():
+                self._peers.answer(page, address)
+        else:
+            self.machine.counts["foreign"] += 1
+        return True
+
+    def _send(self, sends: list[tuple[int, bytes]]) -> None:
+        for to, data in sends:
+            self._peers.send(data, to)
+
+    def _changed(self, now: int, changes: list[Change]) -> None:
+        self._count(now)
+        for number, before, state in changes[:LINES]:
+            if state is not State.ALIVE or before is not None:
+                log("fleet", f"router {number} is {state.name.lower() if state is not None else 'unknown'}",
+                    version=self.machine.version, living=len(self.machine.living))
+        if len(changes) > LINES:
+            log("fleet", f"and {len(changes) - LINES} more changes", version=self.machine.version)
+
+    def _count(self, now: int) -> None:
+        count = self._shares.count(now, len(self.machine.living))
+        if self._fleet.shares and count != self._told:
+            self._told = count
+            self._resized(count)
+
+    def status(self) -> dict[str, object]:
+        """The view as JSON has it."""
+        machine = self.machine
+        held = sorted(machine.members.items())
+        by_state = {state.name.lower(): [n for n, m in held if m.news.state is state] for state in State}
+        zones: dict[str, int] = {}
+        for number in machine.living:
+            zone = machine.members[number].news.zone
+            name = self._config.zones[zone] if zone < len(self._config.zones) else str(zone)
+            zones[name] = zones.get(name, 0) + 1
+        return {"name": self._config.name, "number": machine.me, "version": machine.version,
+                "life": machine.life, "incarnation": machine.mine.incarnation, "health": machine.health,
+                "odd_one_out": self._odd, "configured": machine.size, "living": len(machine.living),
+                "shares_of": self._told, "zones": zones, "suspect": by_state["suspect"],
+                "gone": by_state["gone"], "left": by_state["left"],
+                "builds": sorted({m.build for m in machine.members.values()}), "counts": dict(machine.counts)}
+
+    def _pages(self) -> list[bytes]:
+        """The status in datagrams: kind, number of the page, of all pages, text."""
+        text = json.dumps(self.status()).encode()
+        parts = [text[at:at + PAGE_BYTES] for at in range(0, len(text), PAGE_BYTES)]
+        return [codec.MAGIC + bytes([codec.VERSION, codec.FLAG | Kind.PAGE, number, len(parts)]) + part
+                for number, part in enumerate(parts[:255])]
--- a/slipbay/run.py
+++ b/slipbay/run.py
@@ -22,6 +22,7 @@
 from slipbay.core.timers import Timers
 from slipbay.feed.journal import Journal
 from slipbay.feed.peers import Peers
+from slipbay.fleet.settings import FleetConfig, load_fleet
 from slipbay.front.jsonrpc import JsonRpcConnection, JsonRpcFront
 from slipbay.front.mysql import MysqlConnection, MysqlFront
 from slipbay.front.server import Server
@@ -30,6 +31,7 @@
 
 if TYPE_CHECKING:
     from slipbay.core.keeper import Keeper
+    from slipbay.fleet.speaker import Speaker
 
 LINGER_US = 700_000  # after SIGTERM, how long requests are still taken
 
@@ -37,7 +39,8 @@
 class Router:
     """All parts of one query router."""
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop,
+                 fleet: FleetConfig | None = None) -> None:
         self.config = config
         self.clock = Clock(loop)
         self.timers = Timers(loop, self.clock)
@@ -56,6 +59,11 @@
         self.journal = Journal(config, self.timers, self.dialer, self._listed)
         self.peers = Peers(config, lambda sender, body: self.core.tell(api.PeerMessage(sender, body)))
         self.core.tell_peers = self.peers.send
+        self.speaker: Speaker | None = None
+        if fleet is not None:
+            from slipbay.fleet.speaker import Speaker
+            self.speaker = Speaker(config, fleet, self.timers, self.clock.now, self.peers,
+                                   lambda living: self.core.tell(api.FleetSize(living)))
         self.keeper: Keeper | None = None
         if config.store is not None:
             self.keeper = self._make_keeper(config.store, decider, loop)
@@ -90,6 +98,8 @@
 
     async def start(self) -> None:
         await self.peers.start()
+        if self.speaker is not None:
+            self.speaker.start()
         self.journal.start()
         if self.keeper is not None:
             self.keeper.start([self.back, *([self.mysql_back] if self.mysql_back is not None else [])])
@@ -125,6 +135,8 @@
         if not self._ending:
             self._ending = True
             log("end", "asked to end")
+            if self.speaker is not None:
+                self.speaker.leave()
             self.timers.after(LINGER_US, self._leave)
 
     def _leave(self) -> None:
@@ -138,7 +150,7 @@
 
 async def serve(config: Config) -> None:
     loop = asyncio.get_running_loop()
-    router = Router(config, loop)
+    router = Router(config, loop, load_fleet(config, os.environ))
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, router.end)
     loop.add_signal_handler(signal.SIGHUP, router.reload, os.environ)
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,227 @@
+"""The view of the fleet: its messages, its machine under faults in simulated time, and what shares it
+gives."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from helpers import SAFE, SECOND, engine, settings
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from martenkeel import interface as api
+from martenkeel.decide import Controller
+from martenkeel.state import HEAD as DECISIONS_HEAD
+from martenkeel.state import ITEM as DECISIONS_ITEM
+from martenkeel.state import Peers
+from slipbay.emulator.fleet import EPOCH, FleetModel
+from slipbay.emulator.network import Weather
+from slipbay.fleet import codec
+from slipbay.fleet.codec import Kind, Message, News, State
+from slipbay.fleet.members import Membership
+from slipbay.fleet.shares import Shares
+
+LOSSY = Weather(loss=0.1, double=0.05)
+BYTE, SHORT, LONG = st.integers(0, 255), st.integers(0, 2**16 - 1), st.integers(0, 2**32 - 1)
+NEWS = st.builds(News, SHORT, st.sampled_from([s for s in State if s is not State.SUSPECT]), LONG, SHORT,
+                 st.integers(0, 63))
+KINDS = st.sampled_from([Kind.PING, Kind.ACK, Kind.NEWS])
+MESSAGES = st.builds(Message, KINDS, SHORT, LONG, SHORT, LONG, LONG,
+                     BYTE, st.integers(0, 63), news=st.lists(NEWS, max_size=20).map(tuple))
+
+
+@given(MESSAGES, st.sampled_from([b"", b"k" * 16]))
+@hypothesis_settings(derandomize=True, deadline=None)
+def test_a_message_comes_back_as_it_was_and_is_none_of_the_decisions(message: Message, key: bytes) -> None:
+    data = codec.encode(message, key)
+    assert len(data) <= codec.MOST_BYTES and codec.is_ours(data)
+    assert codec.decode(data, [key] if key else []) == message
+    assert (len(data) - DECISIONS_HEAD.size) % DECISIONS_ITEM.size  # a router of before takes nothing from it
+    assert not Peers().hear(data, [])
+    assert not codec.is_ours(DECISIONS_HEAD.pack(int.from_bytes(b"slb\1", "little"), 1))
+
+
+@given(st.binary(max_size=300) | MESSAGES.map(codec.encode).flatmap(
+    lambda data: st.integers(0, len(data)).map(lambda n: data[:n] + b"\x07" * (n % 3))))
+@hypothesis_settings(derandomize=True, deadline=None)
+def test_garbage_changes_nothing_that_others_could_see(data: bytes) -> None:
+    member = Membership(0, 4, 7, 1, EPOCH)
+    before = member.living, member.digest
+    member.receive(EPOCH, data, 3)
+    assert len(member.living) >= 3 and member.state(0) is State.ALIVE
+    if not codec.is_ours(data):
+        assert (member.living, member.digest) == before and member.counts["garbled"] == 1
+
+
+def test_keys_keep_strangers_out_and_change_without_a_pause() -> None:
+    ping = Message(Kind.PING, 1, EPOCH // SECOND, 3, 0, 9)
+    member = Membership(0, 3, 7, 1, EPOCH, key=b"n" * 16, old_key=b"o" * 16)
+    assert not member.receive(EPOCH, codec.encode(ping), 1) and member.counts["garbled"] == 1
+    assert not member.receive(EPOCH, codec.encode(ping, b"x" * 16), 1) and member.counts["garbled"] == 2
+    for key in (b"o" * 16, b"n" * 16):
+        assert member.receive(EPOCH, codec.encode(ping, key), 1)
+    assert not member.receive(EPOCH, codec.encode(ping, b"n" * 16), 2) and member.counts["foreign"] == 1
+
+
+def test_kinds_and_versions_of_later_releases_are_skipped() -> None:
+    data = bytearray(codec.encode(Message(Kind.PING, 1, 1, 3, 0, 9)))
+    member = Membership(0, 3, 7, 1, EPOCH)
+    for place, value in ((4, codec.FLAG | 99), (3, 2)):
+        later = bytes(data[:place]) + bytes([value]) + bytes(data[place + 1:])
+        assert not member.receive(EPOCH, later, 1)
+    assert member.counts["skipped"] == 2 and not member.counts["garbled"]
+
+
+@pytest.mark.parametrize(("size", "seed"), [(3, 1), (24, 1), (24, 2), (60, 3)])
+def test_a_killed_router_is_held_gone_by_all_within_3_s_and_no_living_one_is(size: int, seed: int) -> None:
+    fleet = FleetModel(size, seed, weather=LOSSY)
+    fleet.run(20)
+    assert fleet.settled()
+    fleet.kill([size // 2])
+    fleet.run(3)
+    assert fleet.settled()
+    fleet.start(size // 2)
+    assert fleet.until_settled(5) <= 5
+
+
+def test_seven_in_ten_killed_and_their_return_with_new_lives() -> None:
+    fleet = FleetModel(24, 4, weather=LOSSY)
+    fleet.run(3)
+    fleet.kill(range(17))
+    assert fleet.until_settled(10) <= 10
+    for me in range(17):
+        fleet.start(me)
+    assert fleet.until_settled(10) <= 10
+
+
+def test_a_partition_by_zone_heals_and_each_side_knew_its_own() -> None:
+    fleet = FleetModel(16, 5, weather=LOSSY, zones=2)
+    even, odd = range(0, 16, 2), range(1, 16, 2)
+    fleet.run(3)
+    fleet.network.cut(even, odd)
+    fleet.run(8)
+    for view in fleet.views():
+        assert view.living == list(even if view.me % 2 == 0 else odd)
+    fleet.network.heal()
+    assert fleet.until_settled(10) <= 10
+
+
+def test_one_that_stood_still_accuses_nobody_and_is_back_at_once() -> None:
+    fleet = FleetModel(24, 6, weather=LOSSY)
+    fleet.run(5)
+    fleet.stop(7)
+    fleet.run(5)
+    assert all(view.state(7) is State.GONE for view in fleet.views() if view.me != 7)
+    fleet.go_on(7)
+    stopped = fleet.members[7]
+    assert stopped is not None and len(stopped.living) == 24
+    assert fleet.until_settled(5) <= 5
+
+
+def test_a_one_way_cut_is_gone_round_through_others() -> None:
+    fleet = FleetModel(12, 7, weather=LOSSY)
+    fleet.run(2)
+    fleet.network.cut([0], [1], both=False)
+    fleet.run(20)
+    assert fleet.settled()
+
+
+def test_one_that_leaves_is_known_to_have_left() -> None:
+    fleet = FleetModel(12, 8, weather=LOSSY)
+    fleet.run(2)
+    fleet.leave(3)
+    fleet.run(0.7)
+    assert sum(view.state(3) is State.LEFT for view in fleet.views() if view.me != 3) >= 10
+    assert fleet.until_settled(5) <= 5
+
+
+def test_nothing_of_an_earlier_life_brings_it_back() -> None:
+    """Two lives of one number: datagrams of the old one come late, and again."""
+    fleet = FleetModel(6, 9)
+    old: list[bytes] = []
+    send = fleet.network.send
+
+    def kept(source: int, target: int, data: bytes) -> None:
+        old.extend([data] * (source == 2))
+        send(source, target, data)
+
+    fleet.network.send = kept  # type: ignore[method-assign]
+    fleet.run(3)
+    fleet.network.send = send  # type: ignore[method-assign]
+    fleet.kill([2])
+    fleet.run(4)
+    for data in old:
+        fleet._deliver(0, 2, data)
+    assert fleet.views()[0].state(2) is State.GONE
+    fleet.start(2)
+    assert fleet.until_settled(5) <= 5
+    new = fleet.members[2]
+    assert new is not None
+    for data in old:
+        fleet._deliver(0, 2, data)
+    assert fleet.views()[0].members[2].news.life == new.life
+    fleet.run(3)
+    assert fleet.settled()
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_views_agree_once_faults_stop_and_messages_stay_within_their_rate(seed: int) -> None:
+    """Random histories of deaths, returns, stops and cuts."""
+    random, size = Random(seed), 10
+    fleet = FleetModel(size, seed, weather=Weather(loss=0.2, double=0.1))
+    for _ in range(25):
+        before = dict(fleet.network.bytes_from)
+        match random.randrange(5):
+            case 0:
+                fleet.kill([random.randrange(size)])
+            case 1:
+                for me in [n for n in range(size) if fleet.members[n] is None][:2]:
+                    fleet.start(me)
+            case 2 if fleet.members[me := random.randrange(size)] is not None:
+                fleet.stop(me)
+            case 3:
+                side = random.sample(range(size), random.randrange(1, size))
+                fleet.network.cut(side, set(range(size)) - set(side), both=random.random() < 0.5)
+            case _:
+                fleet.network.heal()
+                for me in list(fleet.stopped):
+                    fleet.go_on(me)
+        fleet.run(1)
+        assert all(sent - before.get(me, 0) <= 1_000 for me, sent in fleet.network.bytes_from.items())
+    fleet.network.heal()
+    for me in list(fleet.stopped):
+        fleet.go_on(me)
+    assert fleet.until_settled(10) <= 10
+    assert all(len(view.members) <= size and len(view._fresh) <= size for view in fleet.views())
+
+
+def test_equal_seeds_give_equal_bytes() -> None:
+    def play() -> tuple[int, dict[int, int]]:
+        fleet = FleetModel(12, 11, weather=LOSSY)
+        fleet.run(3)
+        fleet.kill([4])
+        fleet.run(3)
+        return fleet.network.messages, dict(fleet.network.bytes_from)
+
+    assert play() == play()
+
+
+def test_shares_shrink_at_once_and_grow_late() -> None:
+    shares = Shares(10, 3 * SECOND)
+    assert shares.count(1 * SECOND, 10) == 10
+    assert shares.count(2 * SECOND, 3) == 10
+    assert shares.count(4 * SECOND, 3) == 10
+    assert shares.count(5 * SECOND + 1, 3) == 3
+    assert shares.count(6 * SECOND, 9) == 9
+    assert shares.count(6 * SECOND, 0) == 9 and shares.count(20 * SECOND, 0) == 1
+
+
+def test_the_decisions_share_the_capacity_among_as_many_as_they_are_told() -> None:
+    controller = Controller(settings(SAFE, gateways=8), 1)
+    controller.handle(SECOND, [api.EngineList(api.ListKind.CACHED, (api.EngineEntry(engine(0)),))])
+    whole = controller.room
+    controller.handle(SECOND, [api.FleetSize(2)])
+    controller.settle(SECOND)
+    assert controller.room == 4 * whole
