Add a rig that plays several routers as processes with faults between them

Need: no test of the project started more than one router process, and the operators care most about how the many work together while some fail.

--- a/slipbay/cli.py
+++ b/slipbay/cli.py
@@ -271,5 +271,34 @@
         time.sleep(every)
 
 
+@main.group()
+def rig() -> None:
+    """Several routers as processes, with faults between them (docs/rig.md)."""
+
+
+@rig.command("run")
+@click.argument("script", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+def rig_run(script: Path) -> None:
+    """Play SCRIPT, a TOML file; print what was done, what clients got, and the verdict.
+
+    Exit code 0 where all rules were kept, 1 where one was broken, 2 for a faulty script.
+    """
+    from slipbay.rig.play import play
+    from slipbay.rig.script import read
+    try:
+        verdict = play(read(script))
+    except ConfigError as problem:
+        _fail(str(problem))
+    for line in verdict.timeline:
+        click.echo(line)
+    for what, count in sorted(verdict.outcomes.items()):
+        click.echo(f"{what:<24} {count}")
+    click.echo(f"most threads on an engine {verdict.most_threads}, further attempts {verdict.extras}")
+    for fault in verdict.faults:
+        click.echo(f"FAULT  {fault}")
+    click.echo("all rules kept" if verdict.good else f"{len(verdict.faults)} faults")
+    sys.exit(0 if verdict.good else 1)
+
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/slipbay/rig/engines.py
@@ -0,0 +1,133 @@
+"""Engines that take their time, and a book of all that ran where, by which the rules are checked."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+
+from slipbay.rig.standins import HttpCall, StandInEngine, http_answer
+
+HOLD_S, UNASKED_S = 0.25, 2.0
+KNEE = 1.8  # threads a core up to which more do no harm
+
+
+class Book:
+    """Every run of every request, as the engines saw it."""
+
+    def __init__(self) -> None:
+        self.running: dict[str, set[str]] = {}  # engines that run a request now
+        self.runs: Counter[str] = Counter()
+        self.once: set[str] = set()  # requests of a class that must not run twice
+        self.faults: list[str] = []
+        self.drained: dict[str, float] = {}  # engines, and when all routers had been told
+        self.threads: dict[str, int] = {}
+        self.most_threads = 0
+
+    def begin(self, engine: str, request: str, sort: str, now: float) -> None:
+        others = self.running.setdefault(request, set())
+        if others:
+            self.faults.append(f"twice at once: {request} on {engine} beside {sorted(others)}")
+        others.add(engine)
+        self.runs[request] += 1
+        if sort == "ticket-load":
+            if request in self.once:
+                self.faults.append(f"run again: {request} on {engine}")
+            self.once.add(request)
+        since = now - self.drained.get(engine, now)
+        if since > 1.05:
+            self.faults.append(f"drained: {request} sent to {engine} {since:.2f} s after")
+
+    def end(self, engine: str, request: str) -> None:
+        self.running.get(request, set()).discard(engine)
+
+    def hold(self, engine: str, threads: int) -> None:
+        self.threads[engine] = self.threads.get(engine, 0) + threads
+        self.most_threads = max(self.most_threads, self.threads[engine])
+
+
+@dataclass(slots=True)
+class Run:
+    threads: int
+    left: float  # s of work that each thread has still to do
+    asked: float
+    done: asyncio.Event = field(default_factory=asyncio.Event)
+    answer: bytes | None = None  # None: dropped
+
+
+class RigEngine(StandInEngine):
+    """Runs statements like ``SELECT 80`` for so many ms on one core, reports and loads on two threads;
+    threads share the cores evenly. It holds calls for 250 ms, gives a good end again, and drops what nobody
+    asks for."""
+
+    def __init__(self, name: str, book: Book, cores: int = 8) -> None:
+        super().__init__(self._answer)
+        self.name, self.book, self.cores = name, book, cores
+        self._runs: dict[str, Run] = {}
+        self._stepping: asyncio.Task[None] | None = None
+
+    def begin(self) -> None:
+        self._stepping = asyncio.get_running_loop().create_task(self._step())
+
+    def end(self) -> None:
+        if self._stepping is not None:
+            self._stepping.cancel()
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+    async def _step(self) -> None:
+        """Work goes on in steps of 5 ms."""
+        loop = asyncio.get_running_loop()
+        before = loop.time()
+        while True:
+            await asyncio.sleep(0.005)
+            now = loop.time()
+            threads = sum(run.threads for run in self._runs.values() if not run.done.is_set())
+            pace = min(1.0, self.cores / threads) if threads else 1.0
+            for name, run in list(self._runs.items()):
+                if run.done.is_set():
+                    if now - run.asked > 30:
+                        del self._runs[name]
+                    continue
+                run.left -= (now - before) * pace
+                if run.left <= 0:
+                    self._close(name, run, f"{name}\t{self.name}\tdone\n".encode())
+                elif now - run.asked > UNASKED_S + HOLD_S:
+                    self._close(name, run, None)
+            before = now
+
+    def _close(self, name: str, run: Run, answer: bytes | None) -> None:
+        if not run.done.is_set():
+            run.answer = answer
+            run.done.set()
+            self.book.hold(self.name, -run.threads)
+            self.book.end(self.name, name)
+
+    async def _answer(self, call: HttpCall, writer: asyncio.StreamWriter) -> bytes | None:
+        now = asyncio.get_running_loop().time()
+        if call.method == "PUT" or call.path == "/ping":
+            return http_answer(204 if call.method == "PUT" else 200)
+        if call.method == "POST":
+            name, sort = call.headers["x-hop-id"], call.headers["x-sort"]
+            threads = 1 if sort == "lookup" else 2
+            digits = "".join(filter(str.isdigit, call.body.decode()[:40])) or "80"
+            self.book.begin(self.name, name, sort, now)
+            self.book.hold(self.name, threads)
+            self._runs[name] = Run(threads, int(digits) / 1000 / threads, now)
+        else:
+            name = call.path.split("/")[2]
+        run = self._runs.get(name)
+        if call.method == "DELETE":
+            if run is not None:
+                self._close(name, run, None)
+            return http_answer(204)
+        if run is None:
+            return http_answer(500)
+        run.asked = now
+        try:
+            await asyncio.wait_for(run.done.wait(), HOLD_S)
+        except TimeoutError:
+            run.asked = asyncio.get_running_loop().time()
+            return http_answer(202)
+        return http_answer(500) if run.answer is None else http_answer(200, run.answer, X_Sheets="1")
--- /dev/null
+++ b/slipbay/rig/relays.py
@@ -0,0 +1,100 @@
+"""What stands between processes: datagrams pass relays that lose, delay, double and cut them.
+
+A router knows another by its source address. So for each ordered pair there is a socket of its own: what
+router i sends to the address that it was told for j comes in there, and goes on to j from the one that j
+was told for i.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Iterable
+from random import Random
+from typing import cast
+
+from slipbay.address import Address
+
+
+class Relay(asyncio.DatagramProtocol):
+    """The socket that router ``near`` takes for router ``far``; ``far`` None: for all others."""
+
+    def __init__(self, links: Links, near: int, far: int | None) -> None:
+        self.links, self.near, self.far = links, near, far
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        if addr != self.links.real[self.near]:
+            return
+        for far in [self.far] if self.far is not None else range(len(self.links.real)):
+            if far != self.near:
+                self.links.carry(self.near, far, data)
+
+    def error_received(self, exc: Exception) -> None:
+        pass  # the router behind it is down
+
+    @property
+    def address(self) -> Address:
+        assert self.transport is not None
+        found: Address = self.transport.get_extra_info("sockname")
+        return found
+
+
+class Links:
+    """All datagram links between routers."""
+
+    def __init__(self, real: list[Address], random: Random) -> None:
+        self.real, self.random = real, random
+        self.loss, self.double, self.delay_s = 0.0, 0.0, 0.0
+        self.cuts: set[tuple[int, int]] = set()
+        self.relays: dict[tuple[int, int | None], Relay] = {}
+        self.counts: Counter[str] = Counter()
+        self.bytes_from: Counter[int] = Counter()
+
+    async def open(self) -> None:
+        loop = asyncio.get_running_loop()
+        for near in range(len(self.real)):
+            for far in [None, *(n for n in range(len(self.real)) if n != near)]:
+                relay = self.relays[near, far] = Relay(self, near, far)
+                await loop.create_datagram_endpoint(lambda r=relay: r, ("127.0.0.1", 0))  # type: ignore[misc]
+
+    def close(self) -> None:
+        for relay in self.relays.values():
+            if relay.transport is not None:
+                relay.transport.close()
+
+    def peers(self, near: int) -> list[str]:
+        """The addresses that a router is told, its own among them."""
+        addresses = [own if n == near else self.relays[near, n].address for n, own in enumerate(self.real)]
+        return [f"{host}:{port}" for host, port in addresses]
+
+    def everyone(self, near: int) -> str:
+        host, port = self.relays[near, None].address
+        return f"{host}:{port}"
+
+    def cut(self, sources: Iterable[int], targets: Iterable[int], both: bool = True) -> None:
+        targets = list(targets)
+        for source in sources:
+            for target in targets:
+                self.cuts |= {(source, target), *([(target, source)] if both else [])}
+
+    def heal(self) -> None:
+        self.cuts.clear()
+
+    def carry(self, near: int, far: int, data: bytes) -> None:
+        self.counts["messages"] += 1
+        self.bytes_from[near] += len(data)
+        if (near, far) in self.cuts or self.random.random() < self.loss:
+            self.counts["lost"] += 1
+            return
+        for _ in range(1 + (self.random.random() < self.double)):
+            delay = self.random.random() * self.delay_s
+            asyncio.get_running_loop().call_later(delay, self._deliver, near, far, data)
+
+    def _deliver(self, near: int, far: int, data: bytes) -> None:
+        transport = self.relays[far, near].transport
+        if transport is not None and not transport.is_closing():
+            transport.sendto(data, self.real[far])
