Explore the membership machine of three routers in all orders, and show that it finds faults

Need: convergence and 'no earlier life comes back' were shown on random histories alone. Put in on purpose and found: claims without an order (an earlier life replaces a later one), the dead never held gone, what is said of us believed.

--- /dev/null
+++ b/tests/test_explore_view.py
@@ -0,0 +1,35 @@
+"""A short exploration of the membership machine, and proof that it finds faults put in on purpose."""
+
+from __future__ import annotations
+
+import pytest
+from explore_view import explore
+
+from slipbay.fleet.codec import News
+from slipbay.fleet.members import Membership
+
+
+def test_three_routers_within_a_short_bound() -> None:
+    found = explore(depth=5, most_states=10_000, check_leaves=40)
+    assert found.violations == [] and found.states > 1_000
+    assert all(found.moves[what] for what in ("step", "deliver", "lose", "kill", "start"))
+
+
+def _forgets_order(self: Membership, now: int, item: News) -> None:
+    if item.number != self.me:
+        self._hold(now, item)
+
+
+def _never_gives_up(self: Membership, number: int, state: object) -> News:
+    return self.members[number].news
+
+
+@pytest.mark.parametrize(("method", "fault", "property_", "depth"), [
+    ("_take", _forgets_order, "3", 7),  # an earlier life replaces a later one
+    ("_as", _never_gives_up, "5", 4),  # the dead are suspected, and never held gone
+    ("_about_me", lambda self, now, item: self._hold(now, item), "1", 8)])  # what is said of us is believed
+def test_faults_put_in_are_found(monkeypatch: pytest.MonkeyPatch, method: str, fault: object, property_: str,
+                                 depth: int) -> None:
+    monkeypatch.setattr(Membership, method, fault)
+    found = explore(depth, most_states=20_000, check_leaves=40)
+    assert found.violations and found.violations[0].startswith(property_)
