Do not take a router of an earlier release for dead while it speaks, and replay messages in the rig

Need: in a release half of the fleet may run without the view. Such a router answers no probe, so those with the view held it gone and shares grew as if it were dead, although it goes on sending: limits would be passed. Change: a router that never spoke of the fleet is not accused within twice the time in which each tells all others its sums, counted from its last word of any kind or from our start. A first form, never to accuse one that never spoke, was taken out: two properties failed, as a router started after others had died held them alive for good.

--- a/slipbay/fleet/members.py
+++ b/slipbay/fleet/members.py
@@ -90,9 +90,11 @@
     """One router's part in keeping the view."""
 
     def __init__(self, me: int, size: int, life: int, seed: int, now: int, *, zone: int = 0, build: int = 0,
-                 timing: Timing | None = None, key: bytes = b"", old_key: bytes = b"") -> None:
+                 grace_us: int = 0, timing: Timing | None = None, key: bytes = b"",
+                 old_key: bytes = b"") -> None:
         """``size``: numbers that the configuration has. ``now`` in us of the Unix clock, from which the
-        incarnation starts."""
+        incarnation starts. ``grace_us``: for so long a router that never spoke of the fleet, as one of an
+        earlier release, is not accused after it was heard to say something else, or after our start."""
         self.me, self.size, self.timing, self.random = me, size, timing or Timing(), Random(seed)
         self.life, self.build = life % 2**16, build
         self._key, self._keys = key, tuple(k for k in (key, old_key) if k)
@@ -111,6 +113,8 @@
         self._fresh: dict[int, int] = {}  # numbers whose news are being told: how often they were
         self._round: list[int] = []
         self._probes: dict[int, Probe] = {}  # those not answered yet, by token
+        self._began, self._grace_us = now, grace_us
+        self._others: dict[int, int] = {}  # when a number last said what is not about the fleet
         self._heard = now  # when anything last came
         self._recent: dict[int, int] = {}  # and from whom, oldest first
         self._helping: dict[int, tuple[int, int, int]] = {}  # our token: who asked, their token, when
@@ -168,6 +172,10 @@
         self._settle(now)
         return sends
 
+    def hear_other(self, now: int, number: int) -> None:
+        """A message of the decisions came: its router lives, whatever release it runs."""
+        self._others[number] = now
+
     def tick(self, now: int) -> list[Send]:
         """Time passes."""
         sends: list[Send] = []
@@ -302,7 +310,11 @@
             return
         if self._heard < probe.sent:
             self.health = min(8, self.health + 1)
-        if probe.target not in self._dead and probe.target in self.members:
+        held = self.members.get(probe.target)
+        other = self._others.get(probe.target, self._began)
+        if held is not None and held.news.incarnation == 0 and now - other < self._grace_us:
+            self.counts["never spoke"] += 1  # of the fleet; it may run an earlier release
+        elif held is not None and probe.target not in self._dead:
             self.counts["unanswered"] += 1
             self._witnessed.discard(probe.target)
             self._take(now, self._as(probe.target, State.SUSPECT))
--- a/slipbay/fleet/speaker.py
+++ b/slipbay/fleet/speaker.py
@@ -18,6 +18,7 @@
 
 LINES = 8  # changes that are logged one by one; more at once are counted
 PAGE_BYTES = 200
+TOLD_US = 250_000  # times the routers: within so long each tells all others the sums of threads once
 
 
 class Speaker:
@@ -27,9 +28,10 @@
                  peers: Peers, resized: Callable[[int], None]) -> None:
         self._config, self._fleet, self._timers, self._now, self._peers = config, fleet, timers, now, peers
         settings = config.settings
-        self.machine = Membership(settings.gateway, len(config.peers), config.seed, config.seed, now(),
-                                  zone=settings.zone, build=fleet.build, timing=fleet.timing, key=fleet.key,
-                                  old_key=fleet.old_key)
+        self.machine = Membership(
+            settings.gateway, len(config.peers), config.seed, config.seed, now(), zone=settings.zone,
+            build=fleet.build, grace_us=2 * TOLD_US * settings.gateways, timing=fleet.timing, key=fleet.key,
+            old_key=fleet.old_key)
         self.machine.changed.append(self._changed)
         self._shares = Shares(settings.gateways, settings.cold_window_us)
         self._resized, self._told = resized, settings.gateways
@@ -59,6 +61,8 @@
         """Whether a datagram is about the fleet. ``number``: of the peer with that address, none for a
         stranger."""
         if not codec.is_ours(data):
+            if number is not None:
+                self.machine.hear_other(self._now(), number)
             return False
         if number is not None:
             self._send(self.machine.receive(self._now(), data, number))
--- a/slipbay/rig/relays.py
+++ b/slipbay/rig/relays.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
+import socket
+from collections import Counter, deque
 from collections.abc import Iterable
 from random import Random
 from typing import cast
@@ -51,6 +52,7 @@
         self.loss, self.double, self.delay_s = 0.0, 0.0, 0.0
         self.cuts: set[tuple[int, int]] = set()
         self.relays: dict[tuple[int, int | None], Relay] = {}
+        self._kept: deque[tuple[int, int, bytes]] = deque(maxlen=400)  # for a replay
         self.counts: Counter[str] = Counter()
         self.bytes_from: Counter[int] = Counter()
 
@@ -87,6 +89,7 @@
     def carry(self, near: int, far: int, data: bytes) -> None:
         self.counts["messages"] += 1
         self.bytes_from[near] += len(data)
+        self._kept.append((near, far, data))
         if (near, far) in self.cuts or self.random.random() < self.loss:
             self.counts["lost"] += 1
             return
@@ -94,6 +97,16 @@
             delay = self.random.random() * self.delay_s
             asyncio.get_running_loop().call_later(delay, self._deliver, near, far, data)
 
+    def replay(self) -> None:
+        """All of the last messages come again, cut short or garbled every third, and so they do from a
+        stranger."""
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+            for number, (near, far, data) in enumerate(self._kept):
+                if number % 3 == 2:
+                    data = data[:self.random.randrange(len(data))] + self.random.randbytes(3)
+                self._deliver(near, far, data)
+                stranger.sendto(data, self.real[far])
+
     def _deliver(self, near: int, far: int, data: bytes) -> None:
         transport = self.relays[far, near].transport
         if transport is not None and not transport.is_closing():
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -52,6 +52,18 @@
     played(*actions, do(2, "drain", engines=[0]), seconds=7)
 
 
+def test_half_of_the_fleet_runs_a_release_before_the_view_and_counts_as_alive() -> None:
+    """Guards against shares that grow as if those lived no more that only know nothing of the view."""
+    played(do(1, "kill", routers=[1]), do(3, "start", routers=[1]), without_view=[0, 2, 4, 6], seconds=4)
+
+
+def test_a_replayer_and_a_stranger_on_the_network_change_nothing() -> None:
+    keyed = 'enabled = true\nkey_file = "key"'
+    for text in (VIEW, keyed):
+        played(do(1, "replay"), do(1.5, "kill", routers=[2]), do(2, "replay"), do(3, "start", routers=[2]),
+               do(3.5, "replay"), seconds=4, fleet=text)
+
+
 def test_without_the_view_the_same_faults_keep_all_rules() -> None:
     played(do(1, "kill", routers=[0, 1, 2]), do(3, "start", routers=[0, 1, 2]), fleet="", settle_s=0,
            seconds=5)
