--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -228,7 +228,7 @@
 
 
 def test_a_claim_from_far_ahead_cannot_hold_a_router_gone_for_good() -> None:
-    """A message cut short and garbled made all hold a living router gone at an incarnation it never outbid."""
+    """A message cut short and garbled made all hold a router gone at an incarnation that it never outbid."""
     member = Membership(0, 3, 7, 1, EPOCH)
     far = News(1, State.GONE, EPOCH // SECOND + 2**22, 5)
     member.receive(EPOCH, codec.encode(Message(Kind.NEWS, 2, EPOCH // SECOND, 3, 0, news=(far,))), 2)
