--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -233,7 +233,8 @@
     far = News(1, State.GONE, EPOCH // SECOND + 2**22, 5)
     member.receive(EPOCH, codec.encode(Message(Kind.NEWS, 2, EPOCH // SECOND, 3, 0, news=(far,))), 2)
     assert member.state(1) is State.ALIVE and member.counts["garbled"] == 1
-    gone = News(1, State.GONE, 9, 5)
-    whole = codec.encode(Message(Kind.NEWS, 2, EPOCH // SECOND, 3, 0, news=(gone,)))
-    member.receive(EPOCH, whole[:-9] + b"abc", 2)
+    alive = News(1, State.ALIVE, 9, 5)
+    changed = bytearray(codec.encode(Message(Kind.NEWS, 2, EPOCH // SECOND, 3, 0, news=(alive,))))
+    changed[codec.HEAD.size + codec.NUMBER.size] |= State.GONE
+    member.receive(EPOCH, bytes(changed), 2)
     assert member.state(1) is State.ALIVE and member.counts["garbled"] == 2
