--- a/benchmarks/many.py
+++ b/benchmarks/many.py
@@ -21,9 +21,10 @@
     return tier
 
 
-def killed(routers: int, engines: int, level: float, seed: int, seconds: float) -> Tier:
+def killed(routers: int, engines: int, level: float, seed: int, seconds: float, heard: bool = True) -> Tier:
     """Five in eight routers are killed after a fifth of the time."""
     tier = Tier(routers, engines, seed=seed, skew=0.5)
+    tier.deaf = not heard
     tier.load(seconds / 5, level)
     for me in range(routers * 5 // 8):
         tier.kill(me)
@@ -33,13 +34,7 @@
 
 def deaf(routers: int, engines: int, level: float, seed: int, seconds: float) -> Tier:
     """As before, and no router hears another."""
-    tier = Tier(routers, engines, seed=seed, skew=0.5)
-    tier.deaf = True
-    tier.load(seconds / 5, level)
-    for me in range(routers * 5 // 8):
-        tier.kill(me)
-    tier.load(seconds * 4 / 5, level)
-    return tier
+    return killed(routers, engines, level, seed, seconds, heard=False)
 
 
 def joins(routers: int, engines: int, level: float, seed: int, seconds: float) -> Tier:
