Under pressure refuse a class's heavy queries first, and let the urgent class pass full engines

At fault: `arrive`, where one query's cost is nothing against a bound of seconds of all engines' work, so that it says yes or no by chance; and `pick`, where the class with most worth for its work passed full engines only where peers told their threads, which here nobody can.

Now, under pressure and with all our threads taken, a class other than the first is refused queries above a cost that falls by 0.6 in a second in which two lighter ones found the bound full, and grows by 1.15 in any other.

--- a/martenkeel/decide.py
+++ b/martenkeel/decide.py
@@ -28,6 +28,9 @@
 PRESSURE_PACE = 2.0  # times the best pace at which latency counts as well above best
 PRESSURE_HOLD = 2 * SECOND  # us that a sign of pressure lasts; two resets of the bound
 HASTE, USUAL = 3, 1  # priorities of the class with most worth for its work, and of all others
+HASTE_ROOM = 2.0  # times their bound that threads may grow for that class; far beyond it engines turn it away
+LIGHTER, HEAVIER = 0.6, 1.15  # steps of the cost beyond which a class is refused under pressure, each reset
+LIGHTEST = 4.0  # times lighter than the class's mean that this cost becomes at the least
 SILENCE = 2.5  # progress periods (aims, where no notes are sent) without a word while one is owed
 STALL = 3 * WATCH  # us that our own timer comes late when it was we who stood still
 ERROR_SHARE = 0.19  # running share of broken connections that keeps an engine out after a good answer
@@ -69,7 +72,7 @@
         self.lines, self.peers, self.told_at = KeyLines(), Peers(), -2 * TELL
         self.trials, self.moving = 1.0, 0  # trial queries that may be sent; attempts called off to start anew
         self.taken, self.extras = Window(), Window()  # queries taken, further attempts
-        self.actions: list[api.Action] = []
+        self.haste, self.actions = settings.heeds_priority and not settings.may_tell, list[api.Action]()
 
     def handle(self, now: int, events: Sequence[api.Event]) -> list[api.Action]:
         self.actions = []
@@ -123,7 +126,10 @@
         if not cls.rate:  # DESIGN: rho starts at aim over first told cost divided by ready engines
             cls.rate = query.cost * max(1, self.ready) / cls.aim(query.cost) * SECOND
             self.predict(cls, now)
-        if query.cost + cls.queued > cls.bound and not self.idle(cls, now):
+        full = self.pressed(now) and self.threads >= self.room and cls is not self.first()
+        heavy = full and query.cost > cls.heaviest  # all weigh the same in worth: what is light serves more
+        if (heavy or query.cost + cls.queued > cls.bound) and not self.idle(cls, now):
+            cls.short += not heavy
             return self.answer(query, now)
         cls.hold(query)
         if query.key:
@@ -166,7 +172,9 @@
                     limit = min(QUEUE_LIMIT * cls.largest, cls.rate / SECOND * cls.aim(cls.usual))
                     cls.delta = min(max(cls.delta + step, -limit), limit)
                 cls.last_err = err
-            cls.delta *= bool(cls.queue or cls.answers and cls.last_err <= 0)  # idle: the bound binds nobody
+            step = LIGHTER if cls.short > 1 else HEAVIER  # one alone says nothing
+            cls.heaviest = min(max(cls.heaviest * step, cls.usual / LIGHTEST), cls.largest)
+            cls.delta *= bool(cls.queue or cls.answers and cls.last_err <= 0)  # idle: binds nobody
             cls.clear()
             self.predict(cls, now)
 
@@ -202,17 +210,17 @@
         spread = len(sick) == len(fits)  # rather our own view is at fault than they
         home = None if spec.is_load else self.home(query.group)
         if told:  # what all gateways know would send them all to the same engine
-            near = fits if pressed else sorted(fits, key=self.distance)[:NEAR]  # those with connections up
+            near = fits if pressed else sorted(fits, key=lambda e: e.distance(self.settings.zone))[:NEAR]
             few = not pressed or query.cls is self.first()  # the others are held back by their lots
             drawn = self.random.sample(near, min(SAMPLE, len(near))) if few else near
             fits = [e for e in fits if e in sick or e.entry.engine == home or e in drawn
-                    or self.capacity(e, now) < 1]  # cold: few may send it anything, so those do
+                    or e.capacity(now, self.settings) < 1]  # cold: few may send it anything, so those do
         best: tuple[tuple[float, ...], Engine] | None = None
         for e in fits:
             trial = e.ill and self.trials >= 1 and spec.effect is Effect.SAFE
             if e in sick and not (trial or spread):
                 continue
-            capacity = self.capacity(e, now)  # under 1: cold with room for us now, as for few: so we use it
+            capacity = e.capacity(now, self.settings)  # under 1: cold with room for us now
             share = capacity / max(1.0, e.paces.value() / (self.paces.value() or 1.0))
             threads = e.threads + (e.others if told else 0)
             room = THREADS_PER_CORE * e.cores * share / (1 if told else self.gateways)
@@ -220,7 +228,8 @@
             more, lot = e.threads - e.mine + spec.threads, e.luck * spec.threads
             free = (room - e.others - e.mine) / self.gateways
             full = threads >= room or told and more > free + lot
-            if pressed and full and not (told and query.cls is self.first()):
+            urgent = told or self.haste and threads < HASTE_ROOM * room
+            if pressed and full and not (urgent and query.cls is self.first()):
                 continue
             locked = e.locks.get(query.group, 0) > now and (spec.is_load or spec.waits_for_loads)
             clash = max(1, e.loads(query.group)) if locked else 0  # the shortest line where all have one
@@ -232,10 +241,6 @@
                 best = (rank, e)
         return best[1] if best else None
 
-    def distance(self, e: Engine) -> tuple[bool, int]:
-        """Our own zone first, and there an order of our own, so that gateways spread over all engines."""
-        return e.entry.zone != self.settings.zone, e.place
-
     def home(self, group: float) -> api.EngineId | None:
         """A group's arc of the ring is as long as its part of the queries seen: all gateways send it to the
         same few engines, which keep it warm, and each engine gets as much."""
@@ -257,7 +262,7 @@
 
     def settle(self, now: int) -> None:
         ready = [e for e in self.engines.values() if e.entry.state is EngineState.READY]
-        cores = sum(e.cores * self.capacity(e, now) for e in ready if not e.ill)
+        cores = sum(e.cores * e.capacity(now, self.settings) for e in ready if not e.ill)
         self.room = THREADS_PER_CORE * cores / self.gateways
         self.ready = len(ready)
         near = [e for e in ready if e.entry.zone == self.settings.zone] or ready
@@ -275,14 +280,7 @@
         if query.ran_on and spec.effect is Effect.KEYED and spec.dedup_scope is not api.Scope.ALL:
             first, cell = query.ran_on.entry, spec.dedup_scope is api.Scope.CELL
             fits &= (first.zone, first.cell * cell) == (entry.zone, entry.cell * cell)
-        return fits and (self.capacity(e, now) == 1.0 or self.cold_room(query.cls, e, now))
-
-    def capacity(self, e: Engine, now: int) -> float:
-        """Share of its full capacity that an engine has; how it grows is not told, and taken to be even."""
-        start, least = max(e.entry.ready_at_us, e.down_at), self.settings.cold_share
-        if not start or now - start >= self.settings.ramp_us:
-            return 1.0
-        return least + (1 - least) * max(0, now - start) / self.settings.ramp_us
+        return fits and (e.capacity(now, self.settings) == 1.0 or self.cold_room(query.cls, e, now))
 
     def cold_room(self, cls: ClassState, e: Engine, now: int) -> bool:
         """What a cold engine may be sent within a window is shared by the few gateways whose turn it is, as a
@@ -291,7 +289,7 @@
         window, gateways = self.settings.cold_window_us, self.settings.gateways
         turns, number = min(gateways, COLD_TURNS), now // max(window, 1)
         place = crc32(e.entry.engine) + self.settings.gateway + number * (turns % gateways or 1)
-        most = self.settings.cold_multiple * self.capacity(e, now) * e.cores * CORE_WORK * window
+        most = self.settings.cold_multiple * e.capacity(now, self.settings) * e.cores * CORE_WORK * window
         while turns > 1 and COLD_MARGIN * most < turns * COLD_FIT * max(c.work for c in self.classes):
             turns //= 2
         if now - self.started < window or place % gateways >= turns:
--- a/martenkeel/state.py
+++ b/martenkeel/state.py
@@ -76,7 +76,6 @@
     mine: int = 0  # and what we held as this was told
     luck: float = 0.0  # drawn anew each time
 
-
     def __post_init__(self) -> None:
         self.digest = crc32(self.entry.engine) % 2**16
 
@@ -105,6 +104,17 @@
         """Loads of ours here that hold the group or wait for it."""
         return sum(a.query.cls.spec.is_load and a.query.group == group for a in self.attempts.values())
 
+    def capacity(self, now: int, settings: api.Settings) -> float:
+        """Share of its full capacity that it has; how it grows is not told, and taken to be even."""
+        start, least = max(self.entry.ready_at_us, self.down_at), settings.cold_share
+        if not start or now - start >= settings.ramp_us:
+            return 1.0
+        return least + (1 - least) * max(0, now - start) / settings.ramp_us
+
+    def distance(self, zone: int) -> tuple[bool, int]:
+        """Our own zone first, and there an order of our own, so that gateways spread over all engines."""
+        return self.entry.zone != zone, self.place
+
     def leave(self) -> None:
         self.entry = replace(self.entry, state=api.EngineState.GONE)
 
@@ -233,6 +243,7 @@
         self.queued = 0.0  # told cost held
         self.rate = 0.0  # 1 / rho: cost drained a second; 0 until seeded
         self.delta = self.last_err = self.bound = self.largest = 0.0
+        self.heaviest = float("inf")  # cost that is taken under pressure
         self.told, self.done, self.bias = Ratio(), Ratio(), Ratio()
         self.clear()
 
@@ -250,7 +261,7 @@
     def clear(self) -> None:
         """Start the counts of a period."""
         self.finished = self.waited = 0.0
-        self.answers = 0
+        self.answers = self.short = 0  # short: those refused that were no heavier than that
 
     @property
     def usual(self) -> float:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from helpers import SAFE, SECOND, UNSAFE, Gateway, engine, sends, settings
+from helpers import SAFE, SECOND, UNSAFE, Gateway, engine, finals, sends, settings
 
 from martenkeel import interface as api
 
@@ -304,3 +304,38 @@
     gateway = Gateway(settings(replace(SAFE, late_worth=0.4)), engines=3)
     assert gateway.ask(1, cost=400_000, expires=300_000)[-1:] == [api.Refuse(1, SECOND // 2)]
     assert sends(gateway.ask(2, cost=200_000, expires=300_000))
+
+
+def test_under_pressure_the_heavy_queries_of_a_class_are_refused_before_its_light_ones() -> None:
+    """Each is worth the same: with the mean cost of 2 s for all, 70 reports in 100 were refused by chance."""
+    report, lookup = replace(SAFE, worth=7.5), SAFE
+    gateway = Gateway(settings(report, lookup), engines=1)
+    cls = gateway.controller.classes[0]
+    for n in range(8):
+        gateway.ask(n, cost=2 * SECOND)
+        gateway.ask(100 + n, service_class=1)
+    cls.queued, cls.bound = 0.0, 1e9
+    gateway.controller.threads, gateway.controller.pressure_until = 99, 1000 * SECOND
+    gateway.controller.reset(gateway.now)
+    cls.short = 3  # queries of any cost found the bound full in this second
+    gateway.controller.reset(gateway.now)
+    assert cls.heaviest == 0.6 * cls.largest
+    cls.bound = 1e9
+    assert [type(action) for action in finals(gateway.ask(50, cost=2 * SECOND))] == [api.Refuse]
+    assert not finals(gateway.ask(51, cost=SECOND // 4))
+    gateway.controller.threads = 0  # free threads: weight is no reason
+    assert not finals(gateway.ask(52, cost=2 * SECOND))
+    for _ in range(4):
+        gateway.controller.reset(gateway.now)
+    assert cls.heaviest == cls.largest
+
+
+def test_the_class_with_most_worth_for_its_work_passes_full_engines_up_to_twice_their_bound() -> None:
+    """Gateways that cannot tell each other what they hold made it wait behind the others' threads."""
+    lookup, report = replace(SAFE, worth=10.0), SAFE
+    gateway = Gateway(settings(report, lookup, heeds_priority=True), engines=1)
+    gateway.controller.pressure_until = 1000 * SECOND
+    bound = int(1.6 * 8) + 1
+    assert sends(gateway.ask(99, service_class=1))
+    assert sum(len(sends(gateway.ask(n))) for n in range(40)) == bound - 1
+    assert sum(len(sends(gateway.ask(n, service_class=1))) for n in range(100, 140)) == 2 * bound - bound
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -71,11 +71,11 @@
     first = sends(gateway.ask(1))[0]
     gateway.end(first, api.Outcome.CONNECT_FAILED)
     broken = gateway.controller.engines[first.engine]
-    assert gateway.controller.capacity(broken, gateway.now) == pytest.approx(0.4)
+    assert broken.capacity(gateway.now, gateway.controller.settings) == pytest.approx(0.4)
     news = api.EngineEntry(first.engine, ready_at_us=gateway.now)
     gateway.now += 20 * SECOND
     gateway.tell(api.EngineList(api.ListKind.DELTA, (news,)))
-    assert gateway.controller.capacity(broken, gateway.now) == 1.0
+    assert broken.capacity(gateway.now, gateway.controller.settings) == 1.0
 
 
 def test_new_process_has_neither_the_old_ones_groups_nor_locks_nor_symptoms() -> None:
@@ -273,5 +273,5 @@
     entry = api.EngineEntry(engine(0), ready_at_us=SECOND)
     gateway = Gateway(settings(cold_share=0.4, ramp_us=10 * SECOND), [entry])
     cold = gateway.controller.engines[engine(0)]
-    shares = [gateway.controller.capacity(cold, at * SECOND) for at in (0, 1, 3, 6, 11, 60)]
+    shares = [cold.capacity(at * SECOND, gateway.controller.settings) for at in (0, 1, 3, 6, 11, 60)]
     assert shares == pytest.approx([0.4, 0.4, 0.52, 0.7, 1.0, 1.0])
