--- a/slipbay/emulator/fleet.py
+++ b/slipbay/emulator/fleet.py
@@ -80,11 +80,13 @@
                 self.network.send(me, to, answer)
 
     def _tick(self, me: int, life: int) -> None:
-        if life == self.lives[me] and self.members[me] is not None:
-            self._run(me, tick=me not in self.stopped)
-            member = self.members[me]
-            assert member is not None
-            due = member.next_tick() - self.offsets[me] if me not in self.stopped else self.now + 50_000
+        member = self.members[me]
+        if life == self.lives[me] and member is not None:
+            due = self.now + 50_000
+            if me not in self.stopped:
+                if member.next_tick() <= self.now + self.offsets[me]:  # may have come since
+                    self._run(me, tick=True)
+                due = member.next_tick() - self.offsets[me]
             self.agenda.at(max(due, self.now + 10_000), lambda: self._tick(me, life))
 
     def _run(self, me: int, tick: bool) -> None:
--- a/slipbay/fleet/codec.py
+++ b/slipbay/fleet/codec.py
@@ -1,29 +1,31 @@
 """Datagrams between routers about the fleet: at most 256 bytes, told apart from the decisions' own by byte 4.
 
-Little-endian. The head: 3 bytes ``slb``, version (1), kind with its top bit set, build, zone, sender's
-number (u16), incarnation (u32) and life (u16), digest of its table (u32), token (u32). Then what the kind
-carries, then news: number (u16), state in two bits and zone in six, incarnation (u32), life (u16), and for
-a suspect who accuses it (u16). With a key, 8 bytes of BLAKE2s over all before them follow, else 4 of
-CRC-32. The decisions' messages have 0 or 1 in byte 4.
+Little-endian. The head: 3 bytes ``slb``, version (2), kind with its top bit set, build, zone, sender's
+number (u16), life (u16), token (u16), incarnation (u32), digest of its table (u32). Then what the kind
+carries, then claims in groups of one state and incarnation: a tag (state in two bits, 4 for a bitmap), the
+incarnation (LEB128), and either how many (u8) and the steps from number to number (LEB128; for suspects each
+with the accuser, u16), or the number of the first byte (LEB128), how many bytes (u8), and a bit for each
+number. With a key, 8 bytes of BLAKE2s over all before them follow, else 4 of CRC-32. The decisions'
+messages have 0 or 1 in byte 4.
 """
 
 from __future__ import annotations
 
 import hmac
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from collections.abc import Iterable, Iterator, Sequence
 from enum import IntEnum
 from hashlib import blake2s
 from struct import Struct, error
+from typing import NamedTuple
 from zlib import crc32
 
 MOST_BYTES = 256
-VERSION = 1
+VERSION = 2
 MAGIC, FLAG = b"slb", 0x80
-HEAD, ITEM, NUMBER, HASH = Struct("<3sBBBBHIHII"), Struct("<HBIH"), Struct("<H"), Struct("<I")
-SUM = HASH
+HEAD, NUMBER, SUM = Struct("<3sBBBBHHHII"), Struct("<H"), Struct("<I")
 DIGEST_BYTES, SUM_BYTES = 8, 4  # of the seal with a key, and without
 MOST_ZONES = 64
+BITMAP, PADDING = 4, 0xFF  # tags of groups; the latter ends them
 
 
 class State(IntEnum):
@@ -45,24 +47,19 @@
     PAGE = 7
 
 
-@dataclass(slots=True, frozen=True)
-class News:
-    """One claim. Claims of one number are ordered by ``key``; the greatest one holds."""
+KINDS, STATES = {kind.value: kind for kind in Kind}, tuple(State)
+
+
+class News(NamedTuple):
+    """One claim. Claims of one number are ordered by incarnation, then state; the greatest one holds."""
 
     number: int
     state: State
     incarnation: int
-    life: int
-    zone: int = 0
     by: int = 0  # who accuses a suspect
 
-    @property
-    def key(self) -> tuple[int, int, int]:
-        return self.incarnation, self.state, self.life
 
-
-@dataclass(slots=True, frozen=True)
-class Message:
+class Message(NamedTuple):
     kind: Kind
     sender: int
     incarnation: int
@@ -72,7 +69,7 @@
     build: int = 0
     zone: int = 0
     target: int = 0  # of an ASK
-    hashes: tuple[int, ...] = ()  # of a TABLE
+    hashes: tuple[int, ...] = ()  # of a TABLE, of 16 bits, salted with its token
     news: tuple[News, ...] = ()
 
 
@@ -90,66 +87,142 @@
     return 1 + HEAD.size + fixed + (DIGEST_BYTES if keyed else SUM_BYTES)
 
 
-def size(news: News) -> int:
-    """Bytes that a claim takes."""
-    return ITEM.size + NUMBER.size * (news.state is State.SUSPECT)
+def fit(claims: Iterable[News], space: int) -> tuple[list[News], int]:
+    """As many of the first claims as surely take no more than ``space`` bytes, and how many they may take."""
+    taken: list[News] = []
+    groups: dict[tuple[State, int], tuple[int, int, int, int]] = {}  # least, greatest, listed, bytes
+    used = 0
+    for item in claims:
+        group = item.state, item.incarnation
+        low, high, listed, before = groups.get(group, (item.number, item.number, 0, 0))
+        low, high = min(low, item.number), max(high, item.number)
+        listed += _varint_bytes(item.number) + NUMBER.size * (item.state is State.SUSPECT)
+        span, head = (high >> 3) - (low >> 3) + 1, 2 + _varint_bytes(item.incarnation)
+        after = head + (listed if item.state is State.SUSPECT or span > 255
+                        else min(listed, _varint_bytes(low >> 3) + span))
+        if used + after - before > space:
+            break
+        groups[group] = low, high, listed, after
+        used += after - before
+        taken.append(item)
+    return taken, used
 
 
 def encode(message: Message, key: bytes = b"") -> bytes:
-    parts = [HEAD.pack(MAGIC, VERSION, FLAG | message.kind, message.build, message.zone, message.sender,
-                       message.incarnation, message.life, message.digest, message.token)]
-    if message.kind is Kind.ASK:
-        parts.append(NUMBER.pack(message.target))
-    elif message.kind is Kind.TABLE:
-        parts.append(bytes([len(message.hashes)]))
-        parts += [HASH.pack(value) for value in message.hashes]
-    for item in message.news:
-        parts.append(ITEM.pack(item.number, item.state | item.zone << 2, item.incarnation, item.life))
-        if item.state is State.SUSPECT:
-            parts.append(NUMBER.pack(item.by))
-    data = b"".join(parts)
+    kind, sender, incarnation, life, digest, token, build, zone, target, hashes, news = message
+    data = HEAD.pack(MAGIC, VERSION, FLAG | kind, build, zone, sender, life, token, incarnation, digest)
+    if kind is Kind.ASK:
+        data += NUMBER.pack(target)
+    elif kind is Kind.TABLE:
+        data += bytes([len(hashes)]) + b"".join(map(NUMBER.pack, hashes))
+    if news:
+        data += b"".join(_groups(news))
     if (len(data) + (DIGEST_BYTES if key else SUM_BYTES) - 5) % 3 == 0:
-        data += b"\xff"  # the length of no message of the decisions: routers of before skip it
+        data += bytes([PADDING])  # the length of no message of the decisions: routers of before skip it
     return data + _seal(data, key)
 
 
 def decode(data: bytes, keys: Sequence[bytes] = ()) -> Message | None:
-    """The message; ``None`` for one of a later version or kind, which is skipped. ``keys``: any may have
-    signed."""
+    """The message; ``None`` for one of another version or a later kind, which is skipped. ``keys``: any may
+    have signed."""
     if not is_ours(data) or len(data) > MOST_BYTES:
         raise Garbled("not a message about the fleet")
-    length = DIGEST_BYTES if keys else SUM_BYTES
-    data, seal = data[:-length], data[-length:]
-    if not any(hmac.compare_digest(seal, _seal(data, key)) for key in keys or (b"",)):
+    if keys:
+        data, seal = data[:-DIGEST_BYTES], data[-DIGEST_BYTES:]
+        whole = any(hmac.compare_digest(seal, _seal(data, key)) for key in keys)
+    else:
+        data, seal = data[:-SUM_BYTES], data[-SUM_BYTES:]
+        whole = seal == SUM.pack(crc32(data))
+    if not whole:
         raise Garbled("its seal is of no key here, or it is not whole")
+    if data[3] != VERSION or data[4] & ~FLAG not in KINDS:
+        return None
     try:
-        _, version, kind, build, zone, sender, incarnation, life, digest, token = HEAD.unpack_from(data)
-        kind &= ~FLAG
-        if version != VERSION or kind not in Kind._value2member_map_:
-            return None
-        at, target, hashes = HEAD.size, 0, tuple[int, ...]()
-        if kind == Kind.ASK:
+        _, _, number, build, zone, sender, life, token, incarnation, digest = HEAD.unpack_from(data)
+        kind, at, target, hashes = KINDS[number & ~FLAG], HEAD.size, 0, tuple[int, ...]()
+        if kind is Kind.ASK:
             (target,), at = NUMBER.unpack_from(data, at), at + NUMBER.size
-        elif kind == Kind.TABLE:
+        elif kind is Kind.TABLE:
             count, at = data[at], at + 1
-            hashes = tuple(value for (value,) in HASH.iter_unpack(data[at:at + HASH.size * count]))
+            hashes = tuple(value for (value,) in NUMBER.iter_unpack(data[at:at + NUMBER.size * count]))
             if len(hashes) != count:
                 raise Garbled("hashes are missing")
-            at += HASH.size * count
-        return Message(Kind(kind), sender, incarnation, life, digest, token, build, zone, target,
-                       hashes, tuple(_news(data, at)))
+            at += NUMBER.size * count
+        news = tuple(_news(data, at)) if at < len(data) else ()
     except (error, IndexError):
         raise Garbled("it is cut off") from None
-
-
-def _news(data: bytes, at: int) -> Iterable[News]:
-    while len(data) - at > 1:  # a single byte behind them is padding
-        number, flags, incarnation, life = ITEM.unpack_from(data, at)
-        at += ITEM.size
-        state, by = State(flags & 3), 0
-        if state is State.SUSPECT:
-            (by,), at = NUMBER.unpack_from(data, at), at + NUMBER.size
-        yield News(number, state, incarnation, life, flags >> 2, by)
+    return Message(kind, sender, incarnation, life, digest, token, build, zone, target, hashes, news)
+
+
+def _groups(news: Iterable[News]) -> Iterator[bytes]:
+    by_group: dict[tuple[State, int], list[News]] = {}
+    for item in news:
+        by_group.setdefault((item.state, item.incarnation), []).append(item)
+    for (state, incarnation), items in sorted(by_group.items()):
+        items.sort()
+        parts, last = [], 0
+        for item in items:
+            parts.append(_varint(item.number - last))
+            last = item.number
+            if state is State.SUSPECT:
+                parts.append(NUMBER.pack(item.by))
+        listed, first = b"".join(parts), items[0].number >> 3
+        span = (last >> 3) - first + 1
+        if state is State.SUSPECT or span > 255 or len(listed) <= len(start := _varint(first)) + span:
+            yield bytes([state]) + _varint(incarnation) + bytes([len(items)]) + listed
+        else:
+            bits = sum(1 << item.number - 8 * first for item in items)
+            yield (bytes([state | BITMAP]) + _varint(incarnation) + start + bytes([span])
+                   + bits.to_bytes(span, "little"))
+
+
+def _news(data: bytes, at: int) -> Iterator[News]:
+    while at < len(data) and data[at] < 2 * BITMAP:
+        tag = data[at]
+        state = STATES[tag % BITMAP]
+        incarnation, at = _read_varint(data, at + 1)
+        if tag >= BITMAP:
+            first, at = _read_varint(data, at)
+            span, at = data[at], at + 1
+            if len(data) < at + span:
+                raise Garbled("a bitmap is cut off")
+            bits, number, at = int.from_bytes(data[at:at + span], "little"), 8 * first, at + span
+            while bits:
+                if bits & 1:
+                    yield News(number, state, incarnation)
+                bits, number = bits >> 1, number + 1
+            continue
+        count, at, number = data[at], at + 1, 0
+        for _ in range(count):
+            step, at = _read_varint(data, at)
+            number, by = number + step, 0
+            if state is State.SUSPECT:
+                (by,), at = NUMBER.unpack_from(data, at), at + NUMBER.size
+            yield News(number, state, incarnation, by)
+
+
+def _varint(value: int) -> bytes:
+    """LEB128: seven bits a byte, the lowest first, the top bit set in all but the last."""
+    parts = bytearray()
+    while value > 0x7F:
+        parts.append(value & 0x7F | 0x80)
+        value >>= 7
+    parts.append(value)
+    return bytes(parts)
+
+
+def _varint_bytes(value: int) -> int:
+    return max(1, -(-value.bit_length() // 7))
+
+
+def _read_varint(data: bytes, at: int) -> tuple[int, int]:
+    value = shift = 0
+    while data[at] & 0x80:
+        value |= (data[at] & 0x7F) << shift
+        shift, at = shift + 7, at + 1
+        if shift > 28:
+            raise Garbled("a number is too long")
+    return value | data[at] << shift, at + 1
 
 
 def _seal(data: bytes, key: bytes) -> bytes:
--- a/slipbay/fleet/members.py
+++ b/slipbay/fleet/members.py
@@ -1,30 +1,31 @@
 """Who of a fleet lives: SWIM with Lifeguard's refinements, as a machine without I/O, clock or own randomness.
 
-A host calls ``receive`` with each datagram and ``tick`` every 50 ms, and sends what they return. Times are
-whole us that only grow. Sources: Das, Gupta, Motivala: SWIM (DSN 2002); Dadgar, Phillips, Currey: Lifeguard
-(2018).
-
-Claims of a number are ordered by incarnation, state and life, and the greatest holds: late, repeated and lost
-messages do no harm, and all who heard the same hold the same. A life begins at an incarnation above those
-of the lives before it, as it counts from the seconds of its start; where clocks say otherwise it learns so,
-and goes above. All that the configuration names are presumed alive at first, at incarnation 0: a start of
-the whole fleet is no news.
+A host calls ``receive`` with each datagram and ``tick`` when ``next_tick`` says, and sends what they return.
+Times are whole us that only grow. Sources: Das, Gupta, Motivala: SWIM (DSN 2002); Dadgar, Phillips, Currey:
+Lifeguard (2018).
+
+Claims of a number are ordered by incarnation and state, and the greatest holds: late, repeated and lost
+messages do no harm, and all who heard the same hold the same. All that the configuration names are presumed
+alive at first, and every life begins at incarnation 0: a start of the whole fleet is no news, and what is
+said of a router means the same to those who met it and to those who did not. A life that finds its number
+taken, by the end of the life before or by that life itself, is told so at its first contact and goes above
+it. Claims name no life: which one holds a number shows in its own messages.
 """
 
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import ceil, log, log10
 from random import Random
 from zlib import crc32
 
 from slipbay.fleet.codec import (
-    HASH,
     MOST_BYTES,
     MOST_ZONES,
     NUMBER,
+    SUM,
     Garbled,
     Kind,
     Message,
@@ -33,14 +34,18 @@
     bare,
     decode,
     encode,
-    size,
+    fit,
 )
 
 SECOND = 1_000_000
-LEAP = 1 << 20  # incarnations ahead of the seconds of the clock beyond which a claim is garbage; twelve days
-BUCKETS = 32  # of the table, compared when digests differ
+LEAP = 1 << 20  # incarnations above what is held beyond which a claim is garbage; each takes a false word
+BUCKETS = 16  # of the table, compared when digests differ
 WITNESSES = 6  # of a suspect that look at it themselves, on the mean
-RESERVE = 120  # bytes of the budget that news leave for probes and their answers
+BUSY = 4  # times rarer that tables are compared while there are news to tell, which mostly make them equal
+CROWD = 3  # suspects at a time beyond which they are fewer: most of those are dead, and more are to be found
+SUSPECT_TELLINGS = 3  # of a suspicion: the suspect and its witnesses must hear of it, all others of its end
+NEWS_PART = 0.4, 0.4  # of the rate and of the burst: for news and tables; the rest is for probes and answers
+YOUNG_US = 3 * SECOND  # from our start on that what is said of our number is meant for the life before
 
 
 @dataclass(slots=True, frozen=True)
@@ -50,29 +55,39 @@
     probe_us: int = 250_000  # between probes of one router after another
     answer_us: int = 80_000  # that an answer may take; over the longest usual way there and back
     tries: int = 4  # pings, so long apart, before a router is suspected
-    helpers: int = 3  # others that are asked to ping it too, at the second and the third
+    helpers: int = 3  # others that are asked to ping it too, at the third and the fourth
     suspect_us: int = 300_000  # that a suspect has to answer at the least, in a fleet of up to ten
     patience: float = 2.0  # times that, as long as nobody else accuses it
     gossip_us: int = 100_000  # between tellings of fresh news
     fan: int = 3  # routers that are told at a time
     sync_us: int = 500_000  # between comparisons of tables that differ
-    reach_us: int = 1_000_000  # between looks for one that is not held alive
+    reach_us: int = 1_000_000  # between looks for one that is not held alive; gossip_us while such are heard
     tombstone_us: int = 60 * SECOND  # that the gone are remembered
     stall_us: int = 400_000  # between two ticks: it was we who stood still
-    rate: int = 740  # bytes that may be sent a second
-    burst: int = 256  # and at once beyond that: in no second more than both
+    rate: int = 700  # bytes that may be sent a second
+    burst: int = 300  # and at once beyond that: in no second more than both
 
 
 @dataclass(slots=True)
 class Member:
     """What is held of a number."""
 
-    news: News
+    number: int
+    state: State
+    incarnation: int
     since: int  # of its state
+    by: int = 0  # who accused it last
     until: int = 0  # a suspect's end
     accusers: set[int] = field(default_factory=set)
+    life: int = -1  # the last that spoke; -1: none yet
+    spoke: int = -1  # the incarnation at which it did
+    zone: int = -1  # as it told
     build: int = 0
 
+    @property
+    def news(self) -> News:
+        return News(self.number, self.state, self.incarnation, self.by if self.state is State.SUSPECT else 0)
+
 
 @dataclass(slots=True)
 class Probe:
@@ -92,39 +107,45 @@
     def __init__(self, me: int, size: int, life: int, seed: int, now: int, *, zone: int = 0, build: int = 0,
                  grace_us: int = 0, timing: Timing | None = None, key: bytes = b"",
                  old_key: bytes = b"") -> None:
-        """``size``: numbers that the configuration has. ``now`` in us of the Unix clock, from which the
-        incarnation starts. ``grace_us``: for so long a router that never spoke of the fleet, as one of an
-        earlier release, is not accused after it was heard to say something else, or after our start."""
+        """``size``: numbers that the configuration has. ``life``: a number that is new with each start.
+        ``grace_us``: for so long a router that never spoke of the fleet, as one of an earlier release, is not
+        accused after it was heard to say something else, or after our start."""
         self.me, self.size, self.timing, self.random = me, size, timing or Timing(), Random(seed)
-        self.life, self.build = life % 2**16, build
+        self.life, self.build, self.zone = life % 2**16, build, zone % MOST_ZONES
         self._key, self._keys = key, tuple(k for k in (key, old_key) if k)
-        self.mine = News(me, State.ALIVE, now // SECOND % 2**32, self.life, zone % MOST_ZONES)
-        self.members = {n: Member(News(n, State.ALIVE, 0, 0), now) for n in range(size) if n != me}
-        self.members[me] = Member(self.mine, now)
+        self.members = {n: Member(n, State.ALIVE, 0, now) for n in range(size)}
+        self.mine = self.members[me]
+        self.mine.life, self.mine.zone, self.mine.build = self.life, self.zone, build
         self.version = 0  # grows with each change of the view
         self.counts: Counter[str] = Counter()
         self.health = 0  # 0: well; each failure of ours to hear adds, each success takes away
         self.changed: list[Callable[[int, list[Change]], None]] = []
         self._changes: list[Change] = []
         self._alive = [n for n in range(size) if n != me]  # others that are alive or suspect
+        self._living: list[int] | None = None
         self._suspects: set[int] = set()
         self._witnessed: set[int] = set()  # those that we look at ourselves, as others accuse them
         self._dead: dict[int, int] = {}  # those gone or left, since when
         self._fresh: dict[int, int] = {}  # numbers whose news are being told: how often they were
         self._round: list[int] = []
         self._probes: dict[int, Probe] = {}  # those not answered yet, by token
+        self._around: dict[int, int] = {}  # those that answer others but not us, since when
         self._began, self._grace_us = now, grace_us
         self._others: dict[int, int] = {}  # when a number last said what is not about the fleet
         self._heard = now  # when anything last came
+        self._reached = now - 10 * SECOND  # and from one held gone
         self._recent: dict[int, int] = {}  # and from whom, oldest first
         self._helping: dict[int, tuple[int, int, int]] = {}  # our token: who asked, their token, when
-        self._token = self.random.randrange(2**32)
-        self._digest = 0
+        self._token = self.random.randrange(2**16)
+        self._digest, self._buckets = 0, [0] * BUCKETS
         for number in range(size):
-            self._digest ^= self._hash(number)
-        self._budget, self._filled = float(self.timing.burst), now
-        self._ticked = self._next_probe = self._next_gossip = self._next_reach = now
-        self._synced = now - SECOND
+            self._toggle(number)
+        # Bytes that may be sent, for probes and their answers, and for news and tables: each has its part of
+        # the rate, and what the other does not use. So neither many failures nor much news stops the other.
+        self._caps = self.timing.burst * (1 - NEWS_PART[1]), self.timing.burst * NEWS_PART[1]
+        self._budgets, self._filled = [*self._caps], now
+        self._ticked = self._next_probe = self._next_gossip = self._next_reach = self._next_tidy = now
+        self._synced, self._quiet_until = now - SECOND, now
         self._results: list[bool] = []  # whether our last probes were answered
         self._accused: list[int] = []  # when we were
 
@@ -137,7 +158,7 @@
         except Garbled:
             self.counts["garbled"] += 1
             return []
-        if message is None or message.kind in (Kind.STATUS, Kind.PAGE):
+        if message is None or message.kind >= Kind.STATUS:
             self.counts["skipped"] += 1
             return []
         if message.sender != sender or sender == self.me or sender >= self.size:
@@ -147,29 +168,31 @@
         self._heard = now
         self._recent.pop(sender, None)
         self._recent[sender] = now
+        if sender in self._dead:
+            self._reached = now
         sends: list[Send] = []
         for item in message.news:
             self._take(now, item)
-        self._take(now, News(sender, State.ALIVE, message.incarnation, message.life, message.zone))
-        known = self.members.get(sender)
-        if known is not None and known.news.life == message.life:
-            known.build = message.build
-        match message.kind:
-            case Kind.PING:
-                self._send(now, sends, sender, Kind.ACK, message.token, about=sender)
-            case Kind.ACK:
-                self._acked(now, sends, message)
-            case Kind.ASK if message.target in self.members and message.target != self.me:
-                self._token = (self._token + 1) % 2**32
-                self._helping[self._token] = sender, message.token, now
-                self._send(now, sends, message.target, Kind.PING, self._token, about=message.target)
-            case Kind.TABLE:
-                self._compare(now, sends, message)
-        if (message.digest != self._digest and not self._fresh and message.kind is not Kind.TABLE
-                and now - self._synced >= self.timing.sync_us):
-            self._synced = now
-            self._send(now, sends, sender, Kind.TABLE)
-        self._settle(now)
+        self._met(now, sends, message)
+        kind = message.kind
+        if kind is Kind.PING:
+            self._send(now, sends, sender, Kind.ACK, message.token)
+        elif kind is Kind.ACK:
+            self._acked(now, sends, message)
+        elif kind is Kind.ASK and message.target in self.members and message.target != self.me:
+            self._next_token()
+            self._helping[self._token] = sender, message.token, now
+            self._send(now, sends, message.target, Kind.PING, self._token)
+        elif kind is Kind.TABLE:
+            self._compare(now, sends, message)
+        if (message.digest != self._digest and kind is not Kind.TABLE
+                and now - self._synced >= self.timing.sync_us * (BUSY if self._fresh else 1)):
+            if self._table(now, sends, sender):
+                self._synced = now
+            elif now >= self._quiet_until:  # news leave it no room, so that they wait once
+                self._quiet_until = now + 4 * self.timing.gossip_us
+        if self._changes:
+            self._settle(now)
         return sends
 
     def hear_other(self, now: int, number: int) -> None:
@@ -179,64 +202,70 @@
     def tick(self, now: int) -> list[Send]:
         """Time passes."""
         sends: list[Send] = []
-        stood = now - self._ticked
+        timing, stood = self.timing, now - self._ticked
         self._ticked = now
-        if stood > self.timing.stall_us:  # others had time to answer that we did not have to hear
+        if stood > timing.stall_us:  # others had time to answer that we did not have to hear
             self.counts["stalls"] += 1
             self.health = min(self.health + 2, 8)
             self._probes.clear()
             for number in self._suspects:
                 self.members[number].until += stood
-            self._next_probe = now + self.timing.probe_us
+            self._next_probe = now + timing.probe_us
         if self.mine.state is State.ALIVE:
             self._step_probe(now, sends)
-        for number in [n for n in self._suspects if now >= self.members[n].until]:
+        for number in [n for n in self._suspects if now >= self.members[n].until] if self._suspects else ():
+            accused = self.me in self.members[number].accusers
             self._take(now, self._as(number, State.GONE))
-            self._fresh[number] = max(0, self._tellings - 3)  # who heard the suspicion finds out as we did
-        if now >= self._next_gossip and self._fresh:
-            self._next_gossip = now + self.timing.gossip_us
-            for number in self._hearers(now, self.timing.fan):
-                self._send(now, sends, number, Kind.NEWS)
+            if not accused:  # then those who accused it tell of it
+                self._fresh[number] = max(0, self._tellings - SUSPECT_TELLINGS)
+        if self._fresh and now >= max(self._next_gossip, self._quiet_until):
+            self._next_gossip = now + timing.gossip_us
+            self._gossip(now, sends, timing.fan)
         if now >= self._next_reach and self.mine.state is State.ALIVE:
-            self._next_reach = now + self.timing.reach_us * self.random.randrange(50, 150) // 100
-            drawn = self.random.sample(range(self.size), min(self.size, 8))
-            for number in [n for n in drawn if n in self._dead or n not in self.members][:1]:
-                self._send(now, sends, number, Kind.PING, about=number)
-            for number in [n for n, since in self._dead.items() if now - since > self.timing.tombstone_us]:
+            self._reach(now, sends)
+        if now >= self._next_tidy:
+            self._next_tidy = now + SECOND
+            for number in [n for n, since in self._dead.items() if now - since > timing.tombstone_us]:
                 del self.members[number], self._dead[number]
                 self._fresh.pop(number, None)
             self._helping = {t: h for t, h in self._helping.items() if now - h[2] < SECOND}
-        self._settle(now)
+        if self._changes:
+            self._settle(now)
         return sends
 
     def leave(self, now: int) -> list[Send]:
         """We end in order: the others need not find out."""
-        self.mine = News(self.me, State.LEFT, self.mine.incarnation + 1, self.life, self.mine.zone)
-        self._hold(now, self.mine)
+        self._hold(now, News(self.me, State.LEFT, self.mine.incarnation + 1))
         sends: list[Send] = []
-        for number in self._hearers(now, 2 * self.timing.fan):
-            self._send(now, sends, number, Kind.NEWS)
+        self._gossip(now, sends, 2 * self.timing.fan)
         self._settle(now)
         return sends
 
-    def _hearers(self, now: int, count: int) -> list[int]:
-        """Some of those heard of late, as of the others many may be dead."""
-        while self._recent and now - next(iter(self._recent.values())) > 2 * SECOND:
-            del self._recent[next(iter(self._recent))]
-        known = [n for n in self._recent if n not in self._dead and n not in self._suspects]
-        drawn = known if len(known) >= count else self._alive
-        return self.random.sample(drawn, min(count, len(drawn)))
+    def next_tick(self) -> int:
+        """When ``tick`` wants to be called at the latest."""
+        due = self._next_probe
+        for probe in self._probes.values():
+            due = min(due, probe.sent + probe.tries * self._answer_us)
+        if self._fresh:
+            due = min(due, max(self._next_gossip, self._quiet_until))
+        if self._dead:
+            due = min(due, self._next_reach)
+        for number in self._suspects:
+            due = min(due, self.members[number].until)
+        return max(self._ticked + 10_000, min(due, self._ticked + self.timing.probe_us))
 
     # The view
 
     @property
     def living(self) -> list[int]:
         """Numbers held alive or only suspect, ours among them, in order."""
-        return sorted([*self._alive, *([self.me] if self.mine.state is State.ALIVE else [])])
+        if self._living is None:
+            self._living = sorted([*self._alive, *([self.me] if self.mine.state is State.ALIVE else [])])
+        return self._living
 
     def state(self, number: int) -> State | None:
         member = self.members.get(number)
-        return member.news.state if member is not None else None
+        return member.state if member is not None else None
 
     @property
     def digest(self) -> int:
@@ -250,6 +279,17 @@
         self._accused = [at for at in self._accused if now - at < 3 * SECOND]
         return failed or self.health >= 4 or len(self._accused) >= 2
 
+    def cut_off(self, now: int) -> list[int]:
+        """Numbers that live, as others reached them for us within the last round of probes, but that did not
+        answer us: the way there or back is cut between us and them."""
+        span = self.timing.probe_us * (len(self._alive) + 8)
+        self._around = {n: at for n, at in self._around.items() if now - at < span and n not in self._dead}
+        return sorted(self._around)
+
+    def side(self) -> tuple[int, int]:
+        """How many hold together with us, and how many there are: of a parted fleet, the size of our part."""
+        return len(self.living), self.size
+
     # Probes
 
     def _step_probe(self, now: int, sends: list[Send]) -> None:
@@ -262,24 +302,34 @@
                 del self._probes[probe.token]
                 self._result(now, probe, False)
                 continue
+            if not self._send(now, sends, probe.target, Kind.PING, probe.token):
+                continue  # what we had no leave to ask nobody failed to answer
             probe.tries += 1
-            self._send(now, sends, probe.target, Kind.PING, probe.token, about=probe.target)
-            if probe.tries == 2 or probe.tries == 3 and not crowded:
-                others = [n for n in self._hearers(now, timing.helpers) if n not in self._probing]
+            if probe.tries == 3 or probe.tries == 4 and not crowded:
+                busy = self._probing
+                others = [n for n in self._hearers(now, timing.helpers) if n not in busy]
                 for number in others[:1] if crowded else others:
                     self._send(now, sends, number, Kind.ASK, probe.token, target=probe.target)
-        if now < self._next_probe:
-            return
-        self._next_probe = max(self._next_probe + timing.probe_us * (1 + crowded), now)
+        self._refill(now)
+        if now < self._next_probe or self._budgets[0] < self._caps[0] / 2:
+            return  # what is left is for answers: without them living routers would seem dead
+        self._next_probe = max(self._next_probe + timing.probe_us, now)
         target = self._draw()
-        for number in sorted(self._suspects):
-            member = self.members[number]
-            if self.me in member.accusers and now - member.since < 3 * timing.probe_us:
-                self._send(now, sends, number, Kind.PING, about=number)  # it hears of it, and may answer
+        if self._suspects:
+            ours = [n for n in sorted(self._suspects) if self.me in self.members[n].accusers
+                    and now - self.members[n].since < 3 * timing.probe_us]
+            for number in self.random.sample(ours, 1) if len(ours) > timing.helpers else ours:
+                self._send(now, sends, number, Kind.PING)  # it hears of it, and may answer
         if target is not None:
-            self._token = (self._token + 1) % 2**32
-            self._probes[self._token] = Probe(target, self._token, now)
-            self._send(now, sends, target, Kind.PING, self._token, about=target)
+            self._next_token()
+            if self._send(now, sends, target, Kind.PING, self._token):
+                self._probes[self._token] = Probe(target, self._token, now)
+            else:
+                self._round.append(target)
+
+    def _next_token(self) -> None:
+        """Never 0, which asks for nothing but an answer."""
+        self._token = self._token % (2**16 - 1) + 1
 
     @property
     def _answer_us(self) -> int:
@@ -292,11 +342,12 @@
 
     def _draw(self) -> int | None:
         """The next of a random order of all who live."""
-        busy = self._probing | self._dead.keys() | self._suspects - self._witnessed
+        probing = self._probing
         for _ in range(2):
             while self._round:
                 number = self._round.pop()
-                if number in self.members and number not in busy:
+                if (number in self.members and number not in self._dead and number not in probing
+                        and (number not in self._suspects or number in self._witnessed)):
                     return number
             self._round = list(self._alive)
             self.random.shuffle(self._round)
@@ -312,99 +363,135 @@
             self.health = min(8, self.health + 1)
         held = self.members.get(probe.target)
         other = self._others.get(probe.target, self._began)
-        if held is not None and held.news.incarnation == 0 and now - other < self._grace_us:
+        if held is not None and held.life < 0 and now - other < self._grace_us:
             self.counts["never spoke"] += 1  # of the fleet; it may run an earlier release
+        elif held is not None and held.state is State.ALIVE and held.since > probe.sent:
+            self.counts["outlived"] += 1  # it refuted a suspicion meanwhile
         elif held is not None and probe.target not in self._dead:
             self.counts["unanswered"] += 1
             self._witnessed.discard(probe.target)
             self._take(now, self._as(probe.target, State.SUSPECT))
+            self._next_probe = min(self._next_probe, now)  # where one fails others may
 
     def _acked(self, now: int, sends: list[Send], message: Message) -> None:
         probe = self._probes.pop(message.token, None)
         if probe is not None:
+            if message.sender == probe.target:
+                self._around.pop(probe.target, None)
+            else:
+                self._around[probe.target] = now
             self._result(now, probe, True)
         elif helping := self._helping.pop(message.token, None):
             asker, token, _ = helping
             self._send(now, sends, asker, Kind.ACK, token)
 
+    def _hearers(self, now: int, count: int) -> list[int]:
+        """Some of those heard of late, as of the others many may be dead."""
+        while self._recent and now - next(iter(self._recent.values())) > 2 * SECOND:
+            del self._recent[next(iter(self._recent))]
+        known = [n for n in self._recent if n not in self._dead and n not in self._suspects]
+        drawn = known if len(known) >= count else self._alive
+        return self.random.sample(drawn, min(count, len(drawn)))
+
+    def _reach(self, now: int, sends: list[Send]) -> None:
+        """Look for one that is not held alive; often while such are heard: a parted fleet has healed."""
+        healed = now - self._reached < self.timing.reach_us
+        self._next_reach = now + (self.timing.gossip_us if healed
+                                  else self.timing.reach_us * self.random.randrange(50, 150) // 100)
+        if len(self._alive) + 1 < self.size:
+            away = [n for n in range(self.size) if n in self._dead or n not in self.members]
+            if away:
+                number = self.random.choice(away)
+                self._send(now, sends, number, Kind.PING)
+
     # Claims
 
     def _as(self, number: int, state: State) -> News:
-        held = self.members[number].news
-        return News(number, state, held.incarnation, held.life, held.zone, self.me)
+        return News(number, state, self.members[number].incarnation, self.me)
 
     def _take(self, now: int, item: News) -> None:
         """Hold the greater of a claim and what is held."""
-        if item.number >= self.size or item.incarnation > now // SECOND + LEAP:
-            self.counts["garbled"] += 1  # an incarnation counts from the seconds of a start
-            return
-        if item.number == self.me:
+        number, state, incarnation, by = item
+        member = self.members.get(number)
+        if number >= self.size or incarnation > LEAP + (member.incarnation if member is not None else 0):
+            self.counts["garbled"] += 1
+        elif number == self.me:
             self._about_me(now, item)
-            return
-        member = self.members.get(item.number)
-        if member is None:
-            if item.state <= State.SUSPECT:  # of those we never knew the end is no news
+        elif member is None:
+            if state <= State.SUSPECT:  # of those we no longer know the end is no news
                 self._hold(now, item)
-        elif item.key > member.news.key:
+        elif (incarnation, state) > (member.incarnation, member.state):
             self._hold(now, item)
-        elif item.key == member.news.key and item.state is State.SUSPECT and item.by not in member.accusers:
-            self._accuse(member, item.by)
-            if len(member.accusers) <= self._wanted:  # an independent witness is news
-                self._fresh[item.number] = 0
+        elif (incarnation == member.incarnation and state is member.state is State.SUSPECT
+                and by not in member.accusers):
+            self._accuse(member, by)
+            if len(member.accusers) <= self._wanted + 1:  # an independent witness is news
+                self._fresh[number] = 0
 
     def _about_me(self, now: int, item: News) -> None:
-        """Outlive what is said of us, be it that we are gone or that another life holds our number."""
-        ours = item.life == self.life
-        if self.mine.state is not State.ALIVE or item.key <= self.mine.key:
+        """Outlive what is said of us, be it that we are gone or that an earlier life holds our number."""
+        mine = self.mine
+        if mine.state is not State.ALIVE or (item.incarnation, item.state) <= (mine.incarnation, mine.state):
             if item.state is not State.ALIVE:  # of what we have outlived already
                 self._fresh[self.me] = 0
             return
-        self.counts["refuted" if ours else "earlier lives"] += 1
-        if ours:
-            self._accused.append(now)
-            self._accused = self._accused[-16:]
+        if now - self._began < YOUNG_US:
+            self.counts["earlier lives"] += 1
+        else:
+            self.counts["refuted"] += 1
+            self._accused = [*self._accused[-15:], now]
             self.health = min(8, self.health + 1)
-        self.mine = News(self.me, State.ALIVE, item.incarnation + 1, self.life, self.mine.zone)
-        self._hold(now, self.mine)
+        self._hold(now, News(self.me, State.ALIVE, item.incarnation + 1))
+
+    def _met(self, now: int, sends: list[Send], message: Message) -> None:
+        """Its sender lives, at the incarnation that it says. Where another life is held at that one or above,
+        either the next life has begun, or a datagram of an earlier one came late: it is told what is
+        held, and goes above it if it lives."""
+        number, incarnation, life = message.sender, message.incarnation, message.life
+        held = self.members.get(number)
+        if held is None or incarnation > held.incarnation:
+            self._take(now, News(number, State.ALIVE, incarnation))
+            held = self.members.get(number)
+        if held is None or held.incarnation > incarnation or held.spoke == incarnation and held.life != life:
+            if held is not None and held.life != life:
+                claim = News(number, max(held.state, State.SUSPECT), held.incarnation, self.me)
+                self._send(now, sends, number, Kind.NEWS, claims=[claim], more=fit([claim], MOST_BYTES)[1])
+        elif held.spoke != incarnation:
+            if held.life not in (-1, life):
+                self._changes.append((number, held.state, held.state))
+            held.life, held.spoke = life, incarnation
+            held.zone, held.build = message.zone, message.build
 
     def _hold(self, now: int, item: News) -> None:
-        old = self.members.get(item.number)
-        was, lives = old is not None and old.news.state <= State.SUSPECT, item.state <= State.SUSPECT
+        number, state, incarnation, by = item
+        member = self.members.get(number)
+        before = member.state if member is not None else None
+        if member is None:
+            member = self.members[number] = Member(number, State.GONE, incarnation, now)
+        was, lives = before is not None and before <= State.SUSPECT, state <= State.SUSPECT
+        member.state, member.incarnation, member.since, member.accusers = state, incarnation, now, set()
         if was != lives:
-            self._digest ^= self._hash(item.number)
-        member = Member(item, now, build=old.build if old is not None and old.news.life == item.life else 0)
-        self.members[item.number] = member
-        if item.number != self.me:
-            self._suspects.discard(item.number)
-            self._witnessed.discard(item.number)
-            if item.state is State.SUSPECT:
-                self._suspects.add(item.number)
-                self._accuse(member, item.by)
-                if item.by != self.me and self.random.random() * len(self._alive) < WITNESSES:
-                    self._witnessed.add(item.number)
-                    self._round.append(item.number)  # next
+            self._toggle(number)
+        if number != self.me:
+            self._suspects.discard(number)
+            self._witnessed.discard(number)
+            if state is State.SUSPECT:
+                self._suspects.add(number)
+                self._accuse(member, by)
+                chance = WITNESSES * min(1.0, CROWD / len(self._suspects))
+                if by != self.me and self.random.random() * len(self._alive) < chance:
+                    self._witnessed.add(number)
+                    self._round.append(number)  # next
             if lives and not was:
-                self._alive.append(item.number)
-                self._dead.pop(item.number, None)
-                self._round.insert(self.random.randrange(len(self._round) + 1), item.number)
+                self._alive.append(number)
+                self._dead.pop(number, None)
+                self._round.insert(self.random.randrange(len(self._round) + 1), number)
             elif was and not lives:
-                self._alive.remove(item.number)
-                self._dead[item.number] = now
-        before = old.news.state if old is not None else None
-        other = old is not None and old.news.incarnation > 0 and old.news.life != item.life
-        if before is not item.state or other or item.number == self.me:  # else we learn more of one presumed
-            self._fresh[item.number] = 0
-        if before is not item.state or other:
-            self._changes.append((item.number, before, item.state))
-
-    def next_tick(self) -> int:
-        """When ``tick`` wants to be called at the latest."""
-        due = self._next_probe
-        for probe in self._probes.values():
-            due = min(due, probe.sent + probe.tries * self._answer_us)
-        if self._fresh:
-            due = min(due, self._next_gossip)
-        return max(self._ticked + 10_000, min(due, self._ticked + self.timing.probe_us))
+                self._alive.remove(number)
+                self._dead[number] = now
+        self._fresh[number] = 0
+        if before is not state:
+            self._changes.append((number, before, state))
 
     @property
     def _wanted(self) -> int:
@@ -414,6 +501,7 @@
     def _accuse(self, member: Member, by: int) -> None:
         """A suspect's time shrinks with independent accusers, and grows with the log of the fleet."""
         member.accusers.add(by)
+        member.by = by
         least = self.timing.suspect_us * max(1.0, log10(len(self._alive) + 1))
         most = least * self.timing.patience * (1 + self.health / 4)
         shrunk = log(len(member.accusers)) / log(self._wanted + 1) if self._wanted else 1.0
@@ -428,31 +516,37 @@
 
     # Tables
 
-    @staticmethod
-    def _hash(number: int) -> int:
-        """Of one that lives; which life it is shows at the next contact, and makes no table differ."""
-        return crc32(NUMBER.pack(number)) | 1
+    def _toggle(self, number: int) -> None:
+        """One that lives comes into the table or goes; which life it is makes no table differ."""
+        value = crc32(NUMBER.pack(number)) | 1
+        self._digest ^= value
+        self._buckets[number % BUCKETS] ^= value
+        self._living = None
+
+    def _hashes(self, salt: int) -> tuple[int, ...]:
+        """Of the buckets; salted, so that what is equal by chance differs the next time."""
+        return tuple(crc32(SUM.pack(value), salt) % 2**16 for value in self._buckets)
 
-    def _buckets(self) -> tuple[int, ...]:
-        hashes = [0] * BUCKETS
-        for member in self.members.values():
-            if member.news.state <= State.SUSPECT:
-                hashes[member.news.number % BUCKETS] ^= self._hash(member.news.number)
-        return tuple(hashes)
+    def _table(self, now: int, sends: list[Send], to: int) -> bool:
+        self._next_token()
+        return self._send(now, sends, to, Kind.TABLE, self._token)
 
     def _compare(self, now: int, sends: list[Send], message: Message) -> None:
         """Tell what we hold in the buckets that differ, and ask back for what the other holds."""
-        mine = self._buckets()
+        mine = self._hashes(message.token)
         if len(message.hashes) != BUCKETS or mine == message.hashes:
             return
-        differ = {n for n in range(BUCKETS) if mine[n] != message.hashes[n]}
-        items = [m.news for m in self.members.values() if m.news.number % BUCKETS in differ]
-        self.random.shuffle(items)
-        while items and self._budget > MOST_BYTES + RESERVE:
-            self._send(now, sends, message.sender, Kind.NEWS, items=items)
-        if now - self._synced >= self.timing.sync_us:
+        if now - self._synced >= self.timing.sync_us and self._table(now, sends, message.sender):
             self._synced = now
-            self._send(now, sends, message.sender, Kind.TABLE)
+        differ = {n for n in range(BUCKETS) if mine[n] != message.hashes[n]}
+        items = [m.news for m in self.members.values() if m.number % BUCKETS in differ
+                 and (m.incarnation or m.state is not State.ALIVE)]  # what is presumed outweighs nothing
+        first = self.random.randrange(len(items) + 1)
+        items = items[first:] + items[:first]
+        self._refill(now)
+        chosen, used = fit(items, int(min(MOST_BYTES, self._budgets[1])) - bare(0, bool(self._key)))
+        if chosen:
+            self._send(now, sends, message.sender, Kind.NEWS, claims=chosen, more=used)
 
     # Sending
 
@@ -461,47 +555,72 @@
         """How often each router passes a piece of news on."""
         return 3 + ceil(log(len(self._alive) + 2, 2))
 
-    def _news(self, space: int, about: int, items: list[News] | None, answers: bool) -> Iterable[News]:
-        """Of what fits first that about the receiver, where it should answer; then the least told."""
-        if about >= 0 and about in self.members and self.members[about].news.state is not State.ALIVE:
-            space -= size(self.members[about].news)
-            yield self.members[about].news  # it may take of the reserve
-        if items is not None:
-            while items and size(items[-1]) <= space:
-                space -= size(items[-1])
-                yield items.pop()
-            return
-        for number in sorted(self._fresh, key=self._fresh.__getitem__) if about < 0 or answers else ():
-            held = self.members[number].news if number in self.members else None
-            if held is None or size(held) > space:
-                break
-            if number != about:
-                space -= size(held)
-                self._fresh[number] += 1
-                if self._fresh[number] >= self._tellings:
-                    del self._fresh[number]
-                yield held
+    def _least_told(self, space: float) -> tuple[list[News], int]:
+        """Fresh news that fit, and how many bytes they may take: the least told first, neighbours together as
+        they take fewer bytes, from our own number on; suspicions last."""
+        order = sorted(self._fresh, key=lambda n: (
+            n in self._suspects, self._fresh[n], (n - self.me) % self.size))
+        return fit((self.members[n].news for n in order if n in self.members), int(space))
+
+    def _told(self, claims: list[News]) -> None:
+        tellings = self._tellings
+        for item in claims:
+            told = self._fresh.get(item.number, 0) + 1
+            if told >= (SUSPECT_TELLINGS if item.state is State.SUSPECT else tellings):
+                self._fresh.pop(item.number, None)
+            else:
+                self._fresh[item.number] = told
+
+    def _gossip(self, now: int, sends: list[Send], fan: int) -> None:
+        """Tell some others; where there is much to tell, as many as there is leave for, and all of it."""
+        bytes_bare = bare(0, bool(self._key))
+        claims, used = self._least_told(min(MOST_BYTES, self._caps[1]) - bytes_bare)
+        for number in self._hearers(now, fan):
+            if claims and self._send(now, sends, number, Kind.NEWS, claims=claims, more=used):
+                self._told(claims)
 
     def _send(self, now: int, sends: list[Send], to: int, kind: Kind, token: int = 0, *, target: int = 0,
-              about: int = -1, items: list[News] | None = None) -> None:
-        """Build a message if there is leave to send it: where there is none, its loss is as any other."""
-        timing = self.timing
-        self._budget = min(timing.burst, self._budget + timing.rate * (now - self._filled) / SECOND)
-        self._filled = max(now, self._filled)
-        hashes = self._buckets() if kind is Kind.TABLE else ()
-        fixed = NUMBER.size if kind is Kind.ASK else 1 + HASH.size * BUCKETS if kind is Kind.TABLE else 0
-        least = bare(fixed, bool(self._key))
-        if least > self._budget:
+              claims: list[News] | None = None, more: int = 0) -> bool:
+        """Build a message if there is leave to send it. ``more``: bytes that its claims may take. Probes and
+        answers tell the receiver what it should outlive; answers carry news as far as there is leave."""
+        self._refill(now)
+        fixed = NUMBER.size if kind is Kind.ASK else 1 + NUMBER.size * BUCKETS if kind is Kind.TABLE else 0
+        least, which = bare(fixed, bool(self._key)) + more, int(kind in (Kind.NEWS, Kind.TABLE))
+        if least > self._budgets[which]:
             self.counts["unsent"] += 1
-            return
-        space = min(MOST_BYTES, int(self._budget) - RESERVE) - least
-        some = self._fresh and kind in (Kind.ACK, Kind.NEWS) or about >= 0 or items is not None
-        news = tuple(self._news(space, about, items, kind is Kind.ACK)) if some else ()
-        if kind is Kind.NEWS and not news:
-            return
+            return False
+        news = claims or []
+        if which == 0 and (self._dead or self._suspects):
+            held = self.members.get(to)
+            if held is not None and held.state is not State.ALIVE:
+                news, about = fit([held.news], int(self._budgets[0]) - least)
+                least += about
+        if kind is Kind.ACK and self._fresh and now >= self._quiet_until:
+            fresh, _ = self._least_told(min(self._budgets[1], MOST_BYTES - least))
+            news = [*news, *(item for item in fresh if item.number != to)]
+            self._told(fresh)
+        hashes = self._hashes(token) if kind is Kind.TABLE else ()
         data = encode(Message(kind, self.me, self.mine.incarnation, self.life, self._digest, token,
-                              self.build, self.mine.zone, target, hashes, news), self._key)
-        self._budget -= len(data)
+                              self.build, self.zone, target, hashes, tuple(news)), self._key)
+        if kind is Kind.ACK and len(data) > least:  # its news are paid for as such
+            self._budgets[1] -= len(data) - least
+            self._budgets[0] -= least
+        else:
+            self._budgets[which] -= len(data)
         self.counts["sent"] += 1
         self.counts["sent bytes"] += len(data)
         sends.append((to, data))
+        return True
+
+    def _refill(self, now: int) -> None:
+        if now <= self._filled:
+            return
+        more, part = self.timing.rate * (now - self._filled) / SECOND, NEWS_PART[0]
+        self._filled = now
+        (probes, news), (most, most_news) = self._budgets, self._caps
+        probes, news = probes + more * (1 - part), news + more * part
+        if news > most_news:
+            probes, news = probes + news - most_news, most_news
+        if probes > most:
+            probes, news = most, min(most_news, news + probes - most)
+        self._budgets = [probes, news]
--- a/slipbay/fleet/settings.py
+++ b/slipbay/fleet/settings.py
@@ -79,6 +79,6 @@
     timing = Timing(**{**{item.name: getattr(base, item.name) for item in fields(Timing)}, **chosen})
     if timing.answer_us * 2 > timing.probe_us * 4:
         raise ConfigError(f"{keys.name('answer_ms')}: want at most twice probe_ms")
-    if timing.rate + timing.burst < 400 or timing.burst < 256:
-        raise ConfigError(f"{keys.name('rate')}: want a burst of 256, and 400 with rate: probes need room")
+    if timing.rate < 300 or timing.burst < 256:
+        raise ConfigError(f"{keys.name('rate')}: want 300 with a burst of 256: probes and answers need room")
     return timing
--- a/slipbay/fleet/speaker.py
+++ b/slipbay/fleet/speaker.py
@@ -96,15 +96,18 @@
         """The view as JSON has it."""
         machine = self.machine
         held = sorted(machine.members.items())
-        by_state = {state.name.lower(): [n for n, m in held if m.news.state is state] for state in State}
+        by_state = {state.name.lower(): [n for n, m in held if m.state is state] for state in State}
         zones: dict[str, int] = {}
         for number in machine.living:
-            zone = machine.members[number].news.zone
-            name = self._config.zones[zone] if zone < len(self._config.zones) else str(zone)
+            zone = machine.members[number].zone
+            name = (self._config.zones[zone] if 0 <= zone < len(self._config.zones)
+                    else "not told yet" if zone < 0 else str(zone))
             zones[name] = zones.get(name, 0) + 1
         return {"name": self._config.name, "number": machine.me, "version": machine.version,
                 "life": machine.life, "incarnation": machine.mine.incarnation, "health": machine.health,
-                "odd_one_out": self._odd, "configured": machine.size, "living": len(machine.living),
+                "odd_one_out": self._odd,
+                "cut_off": machine.cut_off(self._now()), "side": machine.side()[0] / machine.side()[1],
+                "configured": machine.size, "living": len(machine.living),
                 "shares_of": self._told, "zones": zones, "suspect": by_state["suspect"],
                 "gone": by_state["gone"], "left": by_state["left"],
                 "builds": sorted({m.build for m in machine.members.values()}), "counts": dict(machine.counts)}
--- a/tests/explore_view.py
+++ b/tests/explore_view.py
@@ -125,18 +125,18 @@
             continue
         if member.state(me) is not State.ALIVE:
             return f"1: {me} does not hold itself alive"
-        if member._budget < 0:
+        if min(member._budgets) < 0:
             return f"4: {me} sent beyond its rate"
         old = before.members[me]
         for number, held in member.members.items():
-            order = held.news.life - 100 * number if held.news.incarnation else 0
+            order = held.life - 100 * number if held.life >= 0 else 0
             newest = after.newest.get((me, number), 0)
             if old is not None and old.life == member.life and order < newest:
                 return f"3: {me} holds life {order} of {number} after {newest}"
             same = old is not None and old.life == member.life
             after.newest[me, number] = max(newest, order) if same else order
             known = old.members.get(number) if old is not None and same else None
-            if known is not None and held.news.key < known.news.key:
+            if known is not None and (held.incarnation, held.state) < (known.incarnation, known.state):
                 return f"2: {me} fell back on {number}"
     return None
 
--- a/tests/test_explore_view.py
+++ b/tests/test_explore_view.py
@@ -5,7 +5,7 @@
 import pytest
 from explore_view import explore
 
-from slipbay.fleet.codec import News
+from slipbay.fleet.codec import Message, News
 from slipbay.fleet.members import Membership
 
 
@@ -20,12 +20,17 @@
         self._hold(now, item)
 
 
+def _believes_any_life(self: Membership, now: int, sends: object, message: Message) -> None:
+    self.members[message.sender].life = message.life
+
+
 def _never_gives_up(self: Membership, number: int, state: object) -> News:
     return self.members[number].news
 
 
 @pytest.mark.parametrize(("method", "fault", "property_", "depth"), [
-    ("_take", _forgets_order, "3", 7),  # an earlier life replaces a later one
+    ("_take", _forgets_order, "5", 7),  # a late claim replaces a later one
+    ("_met", _believes_any_life, "3", 7),  # an earlier life replaces a later one
     ("_as", _never_gives_up, "5", 4),  # the dead are suspected, and never held gone
     ("_about_me", lambda self, now, item: self._hold(now, item), "1", 8)])  # what is said of us is believed
 def test_faults_put_in_are_found(monkeypatch: pytest.MonkeyPatch, method: str, fault: object, property_: str,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -25,11 +25,15 @@
 
 LOSSY = Weather(loss=0.1, double=0.05)
 BYTE, SHORT, LONG = st.integers(0, 255), st.integers(0, 2**16 - 1), st.integers(0, 2**32 - 1)
-NEWS = st.builds(News, SHORT, st.sampled_from([s for s in State if s is not State.SUSPECT]), LONG, SHORT,
-                 st.integers(0, 63))
+STATES = st.sampled_from([State.ALIVE, State.GONE, State.LEFT])
+CLAIMS = (st.builds(News, st.integers(0, 1000), STATES, st.integers(0, 3) | LONG, st.just(0))
+          | st.builds(News, SHORT, st.just(State.SUSPECT), LONG, SHORT))
 KINDS = st.sampled_from([Kind.PING, Kind.ACK, Kind.NEWS])
-MESSAGES = st.builds(Message, KINDS, SHORT, LONG, SHORT, LONG, LONG,
-                     BYTE, st.integers(0, 63), news=st.lists(NEWS, max_size=20).map(tuple))
+MESSAGES = st.builds(
+    Message, KINDS, SHORT, LONG, SHORT, LONG, SHORT, BYTE, st.integers(0, 63), st.just(0), st.just(()),
+    news=st.lists(CLAIMS, max_size=300, unique_by=lambda item: item.number).map(lambda items: tuple(sorted(
+        codec.fit(items, codec.MOST_BYTES - codec.bare(0, True))[0],
+        key=lambda item: (item.state, item.incarnation, item.number)))))
 
 
 @given(MESSAGES, st.sampled_from([b"", b"k" * 16]))
@@ -56,7 +60,7 @@
 
 
 def test_keys_keep_strangers_out_and_change_without_a_pause() -> None:
-    ping = Message(Kind.PING, 1, EPOCH // SECOND, 3, 0, 9)
+    ping = Message(Kind.PING, 1, 0, 3, 0, 9)
     member = Membership(0, 3, 7, 1, EPOCH, key=b"n" * 16, old_key=b"o" * 16)
     assert not member.receive(EPOCH, codec.encode(ping), 1) and member.counts["garbled"] == 1
     assert not member.receive(EPOCH, codec.encode(ping, b"x" * 16), 1) and member.counts["garbled"] == 2
@@ -68,10 +72,10 @@
 def test_kinds_and_versions_of_later_releases_are_skipped() -> None:
     data = bytearray(codec.encode(Message(Kind.PING, 1, 1, 3, 0, 9)))
     member = Membership(0, 3, 7, 1, EPOCH)
-    for place, value in ((4, codec.FLAG | 99), (3, 2)):
+    for place, value in ((4, codec.FLAG | 99), (3, 1), (3, 3)):
         later = bytes(data[:place]) + bytes([value]) + bytes(data[place + 1:-codec.SUM_BYTES])
         assert not member.receive(EPOCH, later + codec._seal(later, b""), 1)
-    assert member.counts["skipped"] == 2 and not member.counts["garbled"]
+    assert member.counts["skipped"] == 3 and not member.counts["garbled"]
 
 
 @pytest.mark.parametrize(("size", "seed"), [(3, 1), (24, 1), (24, 2), (60, 3)])
@@ -90,10 +94,10 @@
     fleet = FleetModel(24, 4, weather=LOSSY)
     fleet.run(3)
     fleet.kill(range(17))
-    assert fleet.until_settled(10) <= 10
+    assert fleet.until_settled(5) <= 5
     for me in range(17):
         fleet.start(me)
-    assert fleet.until_settled(10) <= 10
+    assert fleet.until_settled(5) <= 5
 
 
 def test_a_partition_by_zone_heals_and_each_side_knew_its_own() -> None:
@@ -105,7 +109,7 @@
     for view in fleet.views():
         assert view.living == list(even if view.me % 2 == 0 else odd)
     fleet.network.heal()
-    assert fleet.until_settled(10) <= 10
+    assert fleet.until_settled(5) <= 5
 
 
 def test_one_that_stood_still_accuses_nobody_and_is_back_at_once() -> None:
@@ -161,7 +165,7 @@
     assert new is not None
     for data in old:
         fleet._deliver(0, 2, data)
-    assert fleet.views()[0].members[2].news.life == new.life
+    assert fleet.views()[0].members[2].life == new.life
     fleet.run(3)
     assert fleet.settled()
 
@@ -197,6 +201,29 @@
     assert all(len(view.members) <= size and len(view._fresh) <= size for view in fleet.views())
 
 
+def test_two_lives_at_one_incarnation_do_not_take_turns() -> None:
+    """The next life began before anyone missed the one before, whose datagrams still come late."""
+    member = Membership(0, 4, 7, 1, EPOCH)
+    member.receive(EPOCH, codec.encode(Message(Kind.PING, 1, 0, 50, 0, 1)), 1)
+    answers = member.receive(EPOCH + 1, codec.encode(Message(Kind.PING, 1, 0, 60, 0, 1)), 1)
+    told = [news for _, data in answers for news in codec.decode(data).news]  # type: ignore[union-attr]
+    assert [(n.number, n.state, n.incarnation) for n in told] == [(1, State.SUSPECT, 0)]
+    assert member.members[1].life == 50 and member.state(1) is State.ALIVE
+    member.receive(EPOCH + 2, codec.encode(Message(Kind.PING, 1, 1, 60, 0, 2)), 1)
+    member.receive(EPOCH + 3, codec.encode(Message(Kind.PING, 1, 0, 50, 0, 3)), 1)
+    assert member.members[1].life == 60 and member.members[1].incarnation == 1
+
+
+def test_a_router_that_others_reach_but_we_do_not_is_told_as_cut_off() -> None:
+    fleet = FleetModel(6, 12)
+    fleet.run(1)
+    fleet.network.cut([1], [0], both=False)
+    fleet.run(6)
+    view = fleet.views()[0]
+    assert view.cut_off(fleet.now + fleet.offsets[0]) == [1] and view.side() == (6, 6)
+    assert not fleet.views()[2].cut_off(fleet.now + fleet.offsets[2])
+
+
 def test_equal_seeds_give_equal_bytes() -> None:
     def play() -> tuple[int, dict[int, int]]:
         fleet = FleetModel(12, 11, weather=LOSSY)
@@ -230,11 +257,10 @@
 def test_a_claim_from_far_ahead_cannot_hold_a_router_gone_for_good() -> None:
     """A message cut short and garbled made all hold a router gone at an incarnation that it never outbid."""
     member = Membership(0, 3, 7, 1, EPOCH)
-    far = News(1, State.GONE, EPOCH // SECOND + 2**22, 5)
-    member.receive(EPOCH, codec.encode(Message(Kind.NEWS, 2, EPOCH // SECOND, 3, 0, news=(far,))), 2)
+    far = News(1, State.GONE, 2**22)
+    member.receive(EPOCH, codec.encode(Message(Kind.NEWS, 2, 0, 3, 0, news=(far,))), 2)
     assert member.state(1) is State.ALIVE and member.counts["garbled"] == 1
-    alive = News(1, State.ALIVE, 9, 5)
-    changed = bytearray(codec.encode(Message(Kind.NEWS, 2, EPOCH // SECOND, 3, 0, news=(alive,))))
-    changed[codec.HEAD.size + codec.NUMBER.size] |= State.GONE
+    changed = bytearray(codec.encode(Message(Kind.NEWS, 2, 0, 3, 0, news=(News(1, State.ALIVE, 9),))))
+    changed[codec.HEAD.size] |= State.GONE
     member.receive(EPOCH, bytes(changed), 2)
     assert member.state(1) is State.ALIVE and member.counts["garbled"] == 2
