Print the view and its counters as metrics, with slipbay fleet metrics

Counters of the view were only in the JSON of `slipbay fleet status`. Routers open no further listener on the platform, so the command asks as `status` does and prints the Prometheus text format through prometheus-client (`slipbay[fleet]`, loaded by the command alone). `status` also names routers cut off from this one.

--- a/slipbay/cli.py
+++ b/slipbay/cli.py
@@ -231,7 +231,7 @@
 def _table(view: dict[str, Any]) -> str:
     zones = ", ".join(f"{name} {count}" for name, count in sorted(view["zones"].items()))
     numbers = "".join(f"\n{name:<10} {', '.join(map(str, view[name]))}"
-                      for name in ("suspect", "gone", "left") if view[name])
+                      for name in ("suspect", "gone", "left", "cut_off") if view[name])
     odd = ", ODD ONE OUT" if view["odd_one_out"] else ""
     return (f"router     {view['name']} (number {view['number']}), view {view['version']}, "
             f"health {view['health']}{odd}\n"
@@ -253,6 +253,21 @@
     sys.exit(3 if view["odd_one_out"] else 0)
 
 
+@fleet.command("metrics")
+@click.argument("target", metavar="ADDRESS")
+@click.option("--seconds", default=1.0, show_default=True, help="How long to wait for the answer.")
+def fleet_metrics(target: str, seconds: float) -> None:
+    """The view and its counters in the Prometheus text format, for a collector of files.
+
+    Needs slipbay[fleet]. Exit code 0; 1 without an answer or without the library.
+    """
+    try:
+        from slipbay.fleet.metrics import exposition
+    except ImportError as problem:
+        _fail(f"slipbay[fleet] is not installed: {problem}", 1)
+    click.echo(exposition(_ask(target, seconds)), nl=False)
+
+
 @fleet.command("watch")
 @click.argument("target", metavar="ADDRESS")
 @click.option("--every", default=1.0, show_default=True, help="Seconds between looks.")
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,8 +4,11 @@
 from __future__ import annotations
 
 from random import Random
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
+from click.testing import CliRunner
 from helpers import SAFE, SECOND, engine, settings
 from hypothesis import given
 from hypothesis import settings as hypothesis_settings
@@ -16,12 +19,15 @@
 from martenkeel.state import HEAD as DECISIONS_HEAD
 from martenkeel.state import ITEM as DECISIONS_ITEM
 from martenkeel.state import Peers
+from slipbay.cli import main as cli
 from slipbay.emulator.fleet import EPOCH, FleetModel
 from slipbay.emulator.network import Weather
 from slipbay.fleet import codec
 from slipbay.fleet.codec import Kind, Message, News, State
-from slipbay.fleet.members import Membership
+from slipbay.fleet.members import Membership, Timing
+from slipbay.fleet.settings import FleetConfig
 from slipbay.fleet.shares import Shares
+from slipbay.fleet.speaker import Speaker
 
 LOSSY = Weather(loss=0.1, double=0.05)
 BYTE, SHORT, LONG = st.integers(0, 255), st.integers(0, 2**16 - 1), st.integers(0, 2**32 - 1)
@@ -264,3 +270,22 @@
     changed[codec.HEAD.size] |= State.GONE
     member.receive(EPOCH, bytes(changed), 2)
     assert member.state(1) is State.ALIVE and member.counts["garbled"] == 2
+
+
+def test_status_and_metrics_tell_the_view(monkeypatch: pytest.MonkeyPatch) -> None:
+    config: Any = SimpleNamespace(settings=settings(SAFE, gateways=3), peers=[("127.0.0.1", 1)] * 3, seed=7,
+                                  name="n0", zones=["east", "west"])
+    view = FleetConfig(Timing(), 1, b"", b"", True, True)
+    nothing = cast(Any, SimpleNamespace())
+    speaker = Speaker(config, view, nothing, lambda: EPOCH, nothing, lambda count: None)
+    speaker.machine.receive(EPOCH, codec.encode(Message(Kind.PING, 1, 0, 5, 0, 9, zone=1)), 1)
+    speaker.machine.receive(EPOCH, codec.encode(Message(Kind.NEWS, 1, 0, 5, 0, news=(
+        News(2, State.GONE, 0),))), 1)
+    monkeypatch.setattr("slipbay.fleet.asking.ask", lambda target, seconds: speaker.status())
+    shown = CliRunner().invoke(cli, ["fleet", "status", "127.0.0.1:7946"])
+    assert shown.exit_code == 0 and "living     2 of 3, by zone: east 1, west 1" in shown.output
+    lines = CliRunner().invoke(cli, ["fleet", "metrics", "127.0.0.1:7946"]).output.splitlines()
+    assert 'slipbay_fleet_living{router="n0"} 2.0' in lines
+    assert 'slipbay_fleet_routers{router="n0",state="gone"} 1.0' in lines
+    assert 'slipbay_fleet_zone_living{router="n0",zone="west"} 1.0' in lines
+    assert 'slipbay_fleet_events_total{kind="received",router="n0"} 2.0' in lines
