--- a/slipbay/rig/engines.py
+++ b/slipbay/rig/engines.py
@@ -65,6 +65,7 @@
         self.name, self.book, self.cores = name, book, cores
         self._runs: dict[str, Run] = {}
         self._stepping: asyncio.Task[None] | None = None
+        self.open_calls = 0  # that are not answered yet
 
     def begin(self) -> None:
         self._stepping = asyncio.get_running_loop().create_task(self._step())
@@ -76,6 +77,15 @@
         for writer in self.writers:
             writer.transport.abort()
 
+    def reset(self) -> int:
+        """Break every connection off, calls under way too; queries run on, as they belong to none. Returns
+        how many calls were cut."""
+        cut = self.open_calls
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers.clear()
+        return cut
+
     async def _step(self) -> None:
         """Work goes on in steps of 5 ms."""
         loop = asyncio.get_running_loop()
@@ -105,6 +115,13 @@
             self.book.end(self.name, name)
 
     async def _answer(self, call: HttpCall, writer: asyncio.StreamWriter) -> bytes | None:
+        self.open_calls += 1
+        try:
+            return await self._serve_call(call)
+        finally:
+            self.open_calls -= 1
+
+    async def _serve_call(self, call: HttpCall) -> bytes:
         now = asyncio.get_running_loop().time()
         if call.method == "PUT" or call.path == "/ping":
             return http_answer(204 if call.method == "PUT" else 200)
--- a/slipbay/rig/play.py
+++ b/slipbay/rig/play.py
@@ -206,7 +206,8 @@
             await self._do(action)
 
     async def _do(self, action: Action) -> None:
-        chosen = [self.routers[n] for n in action.numbers] if action.what not in ("cut", "drain") else []
+        of_routers = action.what not in ("cut", "drain", "reset")
+        chosen = [self.routers[n] for n in action.numbers] if of_routers else []
         way = f" to {list(action.targets)}{' one way' * action.one_way}" if action.targets else ""
         self.say(f"{action.what} {list(action.numbers) or action.value or ''}{way}")
         match action.what:
@@ -239,6 +240,9 @@
                 self.links.double = action.value
             case "delay":
                 self.links.delay_s = action.value
+            case "reset":
+                cut = sum(self.engines[n].reset() for n in action.numbers)
+                self.say(f"{cut} calls were under way")
             case "drain":
                 self._pos += 1
                 for n in action.numbers:
--- a/slipbay/rig/script.py
+++ b/slipbay/rig/script.py
@@ -13,7 +13,8 @@
 ACTIONS = {  # what can be done, and with which keys
     "kill": ("routers",), "start": ("routers",), "stop": ("routers",), "go_on": ("routers",),
     "term": ("routers",), "cut": ("from", "to", "one_way"), "heal": (), "loss": ("part",),
-    "double": ("part",), "delay": ("ms",), "drain": ("engines",), "replay": ()}
+    "double": ("part",), "delay": ("ms",), "drain": ("engines",), "reset": ("engines",),
+    "replay": ()}
 
 
 @dataclass(frozen=True)
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -41,6 +41,12 @@
            do(5, "loss", part=0.0), do(5, "heal"))
 
 
+def test_connections_to_engines_break_under_calls_and_what_ran_is_asked_for_anew() -> None:
+    verdict = played(*(do(0.5 + 0.5 * n, "reset", engines=[0, 1, 2]) for n in range(8)), seconds=5)
+    cut = [int(line.split()[-5]) for line in verdict.timeline if line.endswith("calls were under way")]
+    assert len(cut) == 8 and sum(cut) > 0
+
+
 def test_a_router_that_stands_still_for_five_seconds() -> None:
     played(do(0.5, "stop", routers=[3]), do(5.5, "go_on", routers=[3]), seconds=6.5)
 
