--- a/slipbay/emulator/fleet.py
+++ b/slipbay/emulator/fleet.py
@@ -67,7 +67,7 @@
         """SIGCONT: what came meanwhile is read at once, and the clock has gone on."""
         if me in self.stopped:
             self.stopped.discard(me)
-            self._run(me, tick=True)
+            self._run(me)
             for sender, data in self._waiting.pop(me, [])[-64:]:  # a socket's buffer is not endless
                 self._deliver(me, sender, data)
 
@@ -87,13 +87,13 @@
                 offset = self.offsets[me]
                 due = member.next_tick() - offset
                 if due <= self.now:  # else what was due has come about since
-                    self._run(me, tick=True)
+                    self._run(me)
                     due = member.next_tick() - offset
             self.agenda.at(max(due, self.now + 10_000), lambda: self._tick(me, life))
 
-    def _run(self, me: int, tick: bool) -> None:
+    def _run(self, me: int) -> None:
         member = self.members[me]
-        if member is not None and tick:
+        if member is not None:
             for to, data in member.tick(self.now + self.offsets[me]):
                 self.network.send(me, to, data)
 
