Move the decisions' bookkeeping out of the policy file to make room

Change, none of it a decision: the fields that a controller begins with, the record of a query that has come, the engines' entries after news of the list and the host's timers now stand in martenkeel/state.py (Memory). No rule, figure or order of actions changed: tests/test_traces.py compares recorded action streams and passes, with the tests of rules, guards, design, peers, scale and wire.

--- a/martenkeel/decide.py
+++ b/martenkeel/decide.py
@@ -7,14 +7,13 @@
 """
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from random import Random
 from zlib import crc32
 
 from martenkeel import interface as api
 from martenkeel.interface import Effect, EngineState, Outcome
-from martenkeel.line import Line
-from martenkeel.state import Attempt, ClassState, Engine, Homes, KeyLines, Memory, Peers, Query, Ratio, Window
+from martenkeel.state import Attempt, ClassState, Engine, Memory, Query
 
 SECOND = 1_000_000  # us; also the paper's sampling period
 WATCH = 100_000  # us between looks at silence and held queries; well under the shortest aim
@@ -60,19 +59,11 @@
     """One gateway. Shares nothing with others; time comes in with the events."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.settings, self.random, self.gateways = settings, Random(seed), settings.gateways
-        self.classes = [ClassState(spec) for spec in settings.classes]
-        self.engines: dict[api.EngineId, Engine] = {}
-        self.queries: dict[int, Query] = {}
-        self.timers: dict[int, Callable[[int], None]] = {}
-        self.token, self.started, self.next_watch, self.next_reset = 0, -1, 0, 0
-        self.homes = Homes()
-        self.pressure_until, self.best_pace, self.paces = 0, 0.0, Ratio()
-        self.threads, self.room, self.ready = 0, 0.0, 0  # out, their bound under pressure, engines listed so
-        self.lines, self.line, self.peers, self.told_at = KeyLines(), Line(), Peers(), -2 * TELL
+        super().__init__(settings)
+        self.random, self.started, self.next_watch, self.next_reset = Random(seed), -1, 0, 0
+        self.pressure_until, self.told_at = 0, -2 * TELL
         self.trials, self.moving = 1.0, 0  # trial queries that may be sent; attempts called off to start anew
-        self.taken, self.extras = Window(), Window()  # queries taken, further attempts
-        self.haste, self.actions = settings.heeds_priority and not settings.may_tell, list[api.Action]()
+        self.haste = settings.heeds_priority and not settings.may_tell
 
     def handle(self, now: int, events: Sequence[api.Event]) -> list[api.Action]:
         self.actions = []
@@ -113,15 +104,8 @@
 
     def arrive(self, event: api.QueryArrived, now: int) -> None:
         cls = self.classes[event.service_class]
-        told = float(event.told_cost_us or cls.told.value() or cls.spec.aim_us)
-        query = Query(event.query, cls, now, now + event.expires_in_us, told, told * cls.bias.value(1.0),
-                      event.group, event.order_key if cls.spec.in_order else 0)
-        query.needs = cls.run_time(query.cost) * bool(event.told_cost_us)
-        self.queries[query.id] = cls.present[query.id] = query
-        self.taken.add(now)
-        self.homes.count(event.group)
-        cls.told.add(told, 1.0, FADE)
-        cls.largest = max(cls.largest, query.cost)
+        query = self.take(event, now)
+        cls.told.add(query.told, 1.0, FADE)
         self.timer(query.deadline - LEAVE // 2 * self.settings.tick_us, lambda at: self.answer(query, at))
         if not cls.rate:  # DESIGN: rho starts at aim over first told cost divided by ready engines
             cls.rate = query.cost * max(1, self.ready) / cls.aim(query.cost) * SECOND
@@ -520,20 +504,8 @@
         elif first and first.queued and not first.sent and first not in first.cls.queue:
             first.cls.queue.append(first)
 
-    def timer(self, at: int, action: Callable[[int], None]) -> None:
-        self.token = (self.token + 1) % 2**32
-        self.timers[self.token] = action
-        self.actions.append(api.SetTimer(self.token, max(at, 0)))
-
     def listed(self, event: api.EngineList, now: int) -> None:
-        """An engine off the list gets nothing but is kept: its attempts and charges still count."""
         if event.kind is api.ListKind.FAILED:
             self.actions.append(api.FetchList())
-        elif event.kind is not api.ListKind.DELTA:
-            for name in self.engines.keys() - {entry.engine for entry in event.entries}:
-                self.engines[name].leave()
-        cores, me = self.settings.kind_cores, self.settings.gateway
-        for entry in event.entries:
-            e = self.engines.setdefault(entry.engine, Engine(entry, crc32(entry.engine, me + 1)))
-            e.list_as(entry, cores[entry.kind] if entry.kind < len(cores) else 1.0)
+        self.follow(event)
         self.settle(now)
--- a/martenkeel/state.py
+++ b/martenkeel/state.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from random import Random
 from struct import Struct
 from zlib import crc32
 
 from martenkeel import interface as api
+from martenkeel.line import Line
 
 
 class Ratio:
@@ -332,17 +333,50 @@
 
 
 class Memory:
-    """What a controller learned and tells a later life or another one; decide.py's builds on it."""
-
-    classes: list[ClassState]
-    engines: dict[api.EngineId, Engine]
-    paces: Ratio
-    best_pace: float
-    homes: Homes
-    lines: KeyLines
-    taken: Window
-    extras: Window
-    settings: api.Settings
+    """What a controller keeps, and tells a later life or another one; decide.py's builds on it."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.settings, self.gateways = settings, settings.gateways
+        self.classes = [ClassState(spec) for spec in settings.classes]
+        self.engines: dict[api.EngineId, Engine] = {}
+        self.queries: dict[int, Query] = {}
+        self.token = 0
+        self.timers: dict[int, Callable[[int], None]] = {}
+        self.homes = Homes()
+        self.best_pace, self.paces = 0.0, Ratio()
+        self.threads, self.room, self.ready = 0, 0.0, 0  # out, their bound under pressure, engines listed so
+        self.lines, self.line, self.peers = KeyLines(), Line(), Peers()
+        self.taken, self.extras = Window(), Window()  # queries taken, further attempts
+        self.actions: list[api.Action] = []
+
+    def take(self, event: api.QueryArrived, now: int) -> Query:
+        """The record of a query that has come."""
+        cls = self.classes[event.service_class]
+        told = float(event.told_cost_us or cls.told.value() or cls.spec.aim_us)
+        query = Query(event.query, cls, now, now + event.expires_in_us, told, told * cls.bias.value(1.0),
+                      event.group, event.order_key if cls.spec.in_order else 0)
+        query.needs = cls.run_time(query.cost) * bool(event.told_cost_us)
+        self.queries[query.id] = cls.present[query.id] = query
+        self.taken.add(now)
+        self.homes.count(event.group)
+        cls.largest = max(cls.largest, query.cost)
+        return query
+
+    def follow(self, event: api.EngineList) -> None:
+        """An engine off a whole list gets nothing but is kept: its attempts and charges still count."""
+        if event.kind in (api.ListKind.FULL, api.ListKind.CACHED):
+            for name in self.engines.keys() - {entry.engine for entry in event.entries}:
+                self.engines[name].leave()
+        cores, me = self.settings.kind_cores, self.settings.gateway
+        for entry in event.entries:
+            e = self.engines.setdefault(entry.engine, Engine(entry, crc32(entry.engine, me + 1)))
+            e.list_as(entry, cores[entry.kind] if entry.kind < len(cores) else 1.0)
+
+    def timer(self, at: int, action: Callable[[int], None]) -> None:
+        """Ask the host to be woken; ``action`` is called with the time then."""
+        self.token = (self.token + 1) % 2**32
+        self.timers[self.token] = action
+        self.actions.append(api.SetTimer(self.token, max(at, 0)))
 
     def memory(self) -> api.Remembered:
         """What a later life of this gateway must be told, so that its ration does not begin anew."""
