--- a/benchmarks/channel_cuts.py
+++ b/benchmarks/channel_cuts.py
@@ -20,8 +20,16 @@
         super().__init__(routers, engines, seed=seed)
 
     def _send(self, me: int, body: bytes, to: int | None) -> None:
-        mux = self.muxes.setdefault(me, Mux(me, len(self.routers), 0, self.now, parts={
-            Kind.DECISIONS: self.part, Kind.VIEW: 1 - self.part}))
+        mux = self.muxes.setdefault(
+            me,
+            Mux(
+                me,
+                len(self.routers),
+                0,
+                self.now,
+                parts={Kind.DECISIONS: self.part, Kind.VIEW: 1 - self.part},
+            ),
+        )
         found = mux.told(self.now, body)
         self.counts["asked"] += len(body)
         self.counts["left"] += len(found or b"")
@@ -36,9 +44,11 @@
     tier.until(2 * SECOND)
     tier.load(seconds, level)
     account, told = tier.account, "whole" if part is None else f"a part of {part:g}" if part else "none"
-    line = (f"{routers} routers, {engines} engines, load {level}: {told}: service {account.service:.3f}, "
-            f"refused {sum(account.refused.values()) / sum(account.came.values()):.3f}, threads p99 "
-            f"{account.quantile(0.99)}")
+    line = (
+        f"{routers} routers, {engines} engines, load {level}: {told}: service {account.service:.3f}, "
+        f"refused {sum(account.refused.values()) / sum(account.came.values()):.3f}, threads p99 "
+        f"{account.quantile(0.99)}"
+    )
     if isinstance(tier, Cut):
         line += f", {tier.counts['left'] / max(1, tier.counts['asked']):.2f} of the bytes left"
     return line
--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -35,10 +35,12 @@
     def __str__(self) -> str:
         events = ", ".join(f"{what} {seconds:.1f}" for what, seconds in self.settled.items())
         half, most = quantile(self.found, 0.5), quantile(self.found, 0.99)
-        return (f"{self.size:5} routers, loss {self.loss:.0%}: held gone p50 {half:.2f} p99 {most:.2f} "
-                f"most {self.found[-1]:.2f} s; at rest {self.rest:.0f} bytes/s a router, "
-                f"{self.wrong} wrong suspicions; {self.cpu:.1f} s of CPU"
-                + (f"; views equal after {events} s" if events else ""))
+        return (
+            f"{self.size:5} routers, loss {self.loss:.0%}: held gone p50 {half:.2f} p99 {most:.2f} "
+            f"most {self.found[-1]:.2f} s; at rest {self.rest:.0f} bytes/s a router, "
+            f"{self.wrong} wrong suspicions; {self.cpu:.1f} s of CPU"
+            + (f"; views equal after {events} s" if events else "")
+        )
 
 
 def detection(fleet: FleetModel, victim: int) -> list[float]:
@@ -75,8 +77,7 @@
     return settled
 
 
-def measure(size: int, loss: float, seed: int, seconds: float, kills: int, mass: bool,
-            timing: Timing) -> Row:
+def measure(size: int, loss: float, seed: int, seconds: float, kills: int, mass: bool, timing: Timing) -> Row:
     began = time.process_time()
     fleet = FleetModel(size, seed, weather=Weather(loss=loss), timing=timing)
     gc.freeze()  # a thousand tables of a thousand members are no garbage, and slow to look through
@@ -99,27 +100,34 @@
     most, longest, began = 0, 0.0, time.process_time()
     for _ in range(int(seconds * 10)):
         fleet.run(0.1)
-        held = {n: sum(n in view._dead for view in fleet.views())
-                for n in {n for view in fleet.views() for n in view._dead}}
+        held = {
+            n: sum(n in view._dead for view in fleet.views())
+            for n in {n for view in fleet.views() for n in view._dead}
+        }
         most = max([most, *held.values()])
         since = {n: since.get(n, fleet.now) for n, count in held.items() if count > 1}
         longest = max([longest, *((fleet.now - at) / SECOND for at in since.values())])
     wrong = sum(view.counts["unanswered"] for view in fleet.views())
-    return (f"{size} routers, loss {loss:.0%}, {seconds:g} s without a fault: {wrong} wrong suspicions, at "
-            f"most {most} held a living one gone, more than one for {longest:.1f} s at the longest; "
-            f"{time.process_time() - began:.0f} s of CPU")
+    return (
+        f"{size} routers, loss {loss:.0%}, {seconds:g} s without a fault: {wrong} wrong suspicions, at "
+        f"most {most} held a living one gone, more than one for {longest:.1f} s at the longest; "
+        f"{time.process_time() - began:.0f} s of CPU"
+    )
 
 
 def plot(rows: list[Row], folder: Path) -> None:
     import matplotlib
+
     matplotlib.use("Agg")
     from matplotlib import pyplot
+
     folder.mkdir(parents=True, exist_ok=True)
     losses = sorted({row.loss for row in rows})
     for name, label, value in (
-            ("detection", "99th of 100 holds a killed one gone (s)", lambda row: quantile(row.found, 0.99)),
-            ("bytes", "bytes a second and router at rest", lambda row: row.rest),
-            ("wrong", "wrong suspicions at rest", lambda row: row.wrong)):
+        ("detection", "99th of 100 holds a killed one gone (s)", lambda row: quantile(row.found, 0.99)),
+        ("bytes", "bytes a second and router at rest", lambda row: row.rest),
+        ("wrong", "wrong suspicions at rest", lambda row: row.wrong),
+    ):
         figure, axes = pyplot.subplots(figsize=(6, 4))
         for loss in losses:
             line = [(row.size, value(row)) for row in rows if row.loss == loss]
--- a/benchmarks/gather.py
+++ b/benchmarks/gather.py
@@ -57,30 +57,52 @@
         return self.learned - max(self.fixed)
 
     def __str__(self) -> str:
-        return (f"{named(self.case)} {self.share:6.3f} {self.over_best:+7.3f} {self.learned:6.3f} "
-                f"{self.perfect:7.3f} {self.all_parts:6.3f} {self.quantile:8.3f}  "
-                + " ".join(f"{one:6.3f}" for one in self.fixed) + f" {self.bytes_s:6.0f}")
+        return (
+            f"{named(self.case)} {self.share:6.3f} {self.over_best:+7.3f} {self.learned:6.3f} "
+            f"{self.perfect:7.3f} {self.all_parts:6.3f} {self.quantile:8.3f}  "
+            + " ".join(f"{one:6.3f}" for one in self.fixed)
+            + f" {self.bytes_s:6.0f}"
+        )
 
 
 def named(case: Case) -> str:
-    return (f"{case.parts:3} {'heavy' if case.heavy else 'light'} {'fifth' if case.slow else 'none ':5} "
-            f"{case.load:4} {case.routers:4} {case.seed:4}")
+    return (
+        f"{case.parts:3} {'heavy' if case.heavy else 'light'} {'fifth' if case.slow else 'none ':5} "
+        f"{case.load:4} {case.routers:4} {case.seed:4}"
+    )
 
 
 def title() -> str:
-    return ("  K tail  slow  load   n seed  share vs best learned perfect all  quantile  "
-            + " ".join(f"{deadline / 1e6:4g} s" for deadline in DEADLINES) + "  bytes/s")
+    return (
+        "  K tail  slow  load   n seed  share vs best learned perfect all  quantile  "
+        + " ".join(f"{deadline / 1e6:4g} s" for deadline in DEADLINES)
+        + "  bytes/s"
+    )
 
 
 def steady(case: Case, warm: float = 30, seconds: float = 60) -> Row:
     fleet = GatherFleet(case)
     fleet.run(warm + seconds + LATEST_US / SECOND)
     since, until = int(warm * SECOND), int((warm + seconds) * SECOND)
-    learned, perfect, all_parts, quantile, *fixed = (fleet.worth(since, until, way) for way in (
-        lambda query: query.learned, lambda query: query.perfect, fleet.fixed(LATEST_US), fleet.quantile(),
-        *map(fleet.fixed, DEADLINES)))
-    return Row(case, learned, perfect, all_parts, quantile, tuple(fixed),
-               fleet.bytes / (warm + seconds) / case.routers)
+    learned, perfect, all_parts, quantile, *fixed = (
+        fleet.worth(since, until, way)
+        for way in (
+            lambda query: query.learned,
+            lambda query: query.perfect,
+            fleet.fixed(LATEST_US),
+            fleet.quantile(),
+            *map(fleet.fixed, DEADLINES),
+        )
+    )
+    return Row(
+        case,
+        learned,
+        perfect,
+        all_parts,
+        quantile,
+        tuple(fixed),
+        fleet.bytes / (warm + seconds) / case.routers,
+    )
 
 
 def shifted(case: Case, kind: str) -> str:
@@ -100,10 +122,12 @@
     """Points lost against perfect knowledge by the minute when no query waits longer than pays."""
     fleet = GatherFleet(case, dropping if drop else longer_never)
     fleet.run(60 * (minutes + 1) + LATEST_US / SECOND)
-    lost = [100 * (fleet.worth(*span, lambda query: query.perfect) - fleet.worth(
-        *span, lambda query: query.learned)) for span in (
-            (n * 60 * SECOND, (n + 1) * 60 * SECOND) for n in range(1, round(minutes) + 1))]
-    return (f"{named(case)} {'dropped' if drop else 'counted'} " + " ".join(f"{one:5.1f}" for one in lost))
+    lost = [
+        100
+        * (fleet.worth(*span, lambda query: query.perfect) - fleet.worth(*span, lambda query: query.learned))
+        for span in ((n * 60 * SECOND, (n + 1) * 60 * SECOND) for n in range(1, round(minutes) + 1))
+    ]
+    return f"{named(case)} {'dropped' if drop else 'counted'} " + " ".join(f"{one:5.1f}" for one in lost)
 
 
 def cost(case: Case, queries: int = 400) -> tuple[float, float]:
@@ -115,13 +139,19 @@
         if n % 5 == 0:
             world.step()
         common, engines = world.common(), [world.engine(group) for group in range(case.parts)]
-        drawn.append(([world.names[engine] for engine in engines],
-                      [int(BASE_US * common * world.factor(group, engine) * world.noise(world.heavy)) + 1
-                       for group, engine in enumerate(engines)]))
+        drawn.append(
+            (
+                [world.names[engine] for engine in engines],
+                [
+                    int(BASE_US * common * world.factor(group, engine) * world.noise(world.heavy)) + 1
+                    for group, engine in enumerate(engines)
+                ],
+            )
+        )
     best = 1e9
     for _ in range(5):
         moments, now = GatherMoments(0), 0
-        for half in (drawn[:queries // 2], drawn[queries // 2:]):
+        for half in (drawn[: queries // 2], drawn[queries // 2 :]):
             began = time.process_time()
             for names, times in half:
                 now += 1_000 * case.parts
@@ -145,7 +175,9 @@
     ways: tuple[tuple[str, str, Callable[[Row], float]], ...] = (
         ("learned", "o", lambda row: row.learned),
         ("best of five fixed deadlines", "x", lambda row: max(row.fixed)),
-        ("quantile 0.9", "+", lambda row: row.quantile), ("all parts", ".", lambda row: row.all_parts))
+        ("quantile 0.9", "+", lambda row: row.quantile),
+        ("all parts", ".", lambda row: row.all_parts),
+    )
     for name, mark, way in ways:
         axes.plot([way(row) / row.perfect for row in rows], mark, label=name, linestyle="none")
     axes.axhline(0.95, color="grey", linewidth=0.5)
@@ -167,9 +199,12 @@
     parser.add_argument("--only", choices=["steady", "shifts", "censored", "cpu"])
     parser.add_argument("--plot", metavar="FILE", help="PNG of the steady table")
     chosen = parser.parse_args()
-    cases = [Case(parts, heavy, slow, load, routers, seed, RATES.get(routers, FEW_RATES).get(parts, 10.0))
-             for routers, parts, heavy, slow, load, seed in product(
-                 chosen.routers, chosen.parts, (False, True), (False, True), chosen.loads, chosen.seeds)]
+    cases = [
+        Case(parts, heavy, slow, load, routers, seed, RATES.get(routers, FEW_RATES).get(parts, 10.0))
+        for routers, parts, heavy, slow, load, seed in product(
+            chosen.routers, chosen.parts, (False, True), (False, True), chosen.loads, chosen.seeds
+        )
+    ]
     with ProcessPoolExecutor(chosen.workers) as pool:
         if chosen.only in (None, "steady"):
             print("\nsteady\n" + title())
@@ -177,23 +212,30 @@
             for row in pool.map(steady, cases, [30.0] * len(cases), [chosen.seconds] * len(cases)):
                 rows.append(row)
                 print(row, flush=True)
-            print(f"least share {min(row.share for row in rows):.3f}, least against the best fixed deadline "
-                  f"{min(row.over_best for row in rows):+.3f}; means "
-                  f"{sum(row.share for row in rows) / len(rows):.3f}, "
-                  f"{sum(row.over_best for row in rows) / len(rows):+.3f}")
+            print(
+                f"least share {min(row.share for row in rows):.3f}, least against the best fixed deadline "
+                f"{min(row.over_best for row in rows):+.3f}; means "
+                f"{sum(row.share for row in rows) / len(rows):.3f}, "
+                f"{sum(row.over_best for row in rows) / len(rows):+.3f}"
+            )
             if chosen.plot:
                 plot(rows, chosen.plot)
         if chosen.only in (None, "shifts"):
             print("\nshare after a shift, by seconds  " + " ".join(f"{a}-{b}" for a, b in AFTER))
-            some = [replace(case, load=0.8) for case in cases
-                    if case.heavy == case.slow and case.load == chosen.loads[0]]
+            some = [
+                replace(case, load=0.8)
+                for case in cases
+                if case.heavy == case.slow and case.load == chosen.loads[0]
+            ]
             jobs = list(product(some, SHIFTS))
             for line in pool.map(shifted, *zip(*jobs, strict=True)):
                 print(line, flush=True)
         if chosen.only in (None, "censored"):
             print("\npoints under perfect knowledge in each minute, parts given up counted or dropped")
-            some = [Case(parts, True, True, load, 1, seed, FEW_RATES.get(parts, 10.0) / 2)
-                    for parts, load, seed in product(chosen.parts, (0.8, 1.1), chosen.seeds)]
+            some = [
+                Case(parts, True, True, load, 1, seed, FEW_RATES.get(parts, 10.0) / 2)
+                for parts, load, seed in product(chosen.parts, (0.8, 1.1), chosen.seeds)
+            ]
             for line in pool.map(censored, *zip(*product(some, (False, True)), strict=True)):
                 print(line, flush=True)
     if chosen.only in (None, "cpu"):
--- a/benchmarks/lives.py
+++ b/benchmarks/lives.py
@@ -43,18 +43,30 @@
 
 def play(part: float, seed: int, keyed: bool) -> None:
     key = 'key_file = "key"\n' if keyed else ""
-    script = from_table({
-        "routers": ROUTERS, "engines": 4, "zones": 2, "seconds": 14, "settle_s": 10, "seed": seed,
-        "fleet": "enabled = true", "comeback": "enabled = true", "quota": QUOTA,
-        "channel": f"enabled = true\n{key}[parts]\nlives = {part}",
-        "store": 'enabled = true\nfolder = "{own}/store"\n[loss]\nenabled = true\nfleet = true',
-        "load": {"lookups": 60, "reports": 2, "loads": 0},
-        "do": [{"at": 5, "what": "restart", "routers": list(range(ROUTERS)), "after_s": 0.3}]})
+    script = from_table(
+        {
+            "routers": ROUTERS,
+            "engines": 4,
+            "zones": 2,
+            "seconds": 14,
+            "settle_s": 10,
+            "seed": seed,
+            "fleet": "enabled = true",
+            "comeback": "enabled = true",
+            "quota": QUOTA,
+            "channel": f"enabled = true\n{key}[parts]\nlives = {part}",
+            "store": 'enabled = true\nfolder = "{own}/store"\n[loss]\nenabled = true\nfleet = true',
+            "load": {"lookups": 60, "reports": 2, "loads": 0},
+            "do": [{"at": 5, "what": "restart", "routers": list(range(ROUTERS)), "after_s": 0.3}],
+        }
+    )
     with tempfile.TemporaryDirectory() as folder:
         rig = Asking(script, Path(folder))
         verdict = asyncio.run(rig.play())
-    noted = [[float(line.split(" after ")[1].split()[0]) for line in router.lines if "is noted by" in line]
-             for router in rig.routers]
+    noted = [
+        [float(line.split(" after ")[1].split()[0]) for line in router.lines if "is noted by" in line]
+        for router in rig.routers
+    ]
     late = sorted(after[-1] for after in noted if len(after) == 2)
     refused: Counter[str] = Counter()
     sent: Counter[str] = Counter()
@@ -62,11 +74,15 @@
         for kind, counts in status["kinds"].items():
             refused[kind] += counts["over_budget"]
             sent[kind] += counts["bytes"]
-    print(f"part {part:g}, seed {seed}{', keyed' * keyed}: first lives noted after "
-          f"{sorted(after[0] for after in noted if after)}, restarted ones after {late}, "
-          f"{ROUTERS - len(late)} never")
-    print(f"  over budget {dict(refused)}, bytes {dict(sent)}; starved {verdict.starved:.2f}; "
-          f"full service after {verdict.stretches[-1]['full_service_s']} s; {verdict.faults or 'no fault'}")
+    print(
+        f"part {part:g}, seed {seed}{', keyed' * keyed}: first lives noted after "
+        f"{sorted(after[0] for after in noted if after)}, restarted ones after {late}, "
+        f"{ROUTERS - len(late)} never"
+    )
+    print(
+        f"  over budget {dict(refused)}, bytes {dict(sent)}; starved {verdict.starved:.2f}; "
+        f"full service after {verdict.stretches[-1]['full_service_s']} s; {verdict.faults or 'no fault'}"
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/many.py
+++ b/benchmarks/many.py
@@ -41,7 +41,7 @@
     """Six in ten engines are replaced one after another within 7 s."""
     tier = Tier(routers, engines, seed=seed, skew=0.5)
     tier.load(6, level)
-    leaving = list(tier.engines)[:engines * 6 // 10]
+    leaving = list(tier.engines)[: engines * 6 // 10]
     for name in leaving:
         tier.drain(name)
         tier.add_engine(born=tier.now)
@@ -54,10 +54,10 @@
     """Half of the engines are replaced in five steps while routers are killed and started in tenths."""
     tier = Tier(routers, engines, seed=seed, skew=0.5)
     tier.load(4, level)
-    leaving = list(tier.engines)[:engines // 2]
+    leaving = list(tier.engines)[: engines // 2]
     for step in range(10):
         if step % 2 == 0:
-            for name in leaving[step * len(leaving) // 10:(step + 2) * len(leaving) // 10]:
+            for name in leaving[step * len(leaving) // 10 : (step + 2) * len(leaving) // 10]:
                 tier.drain(name)
                 tier.add_engine(born=tier.now)
         group = range(step * routers // 10, (step + 1) * routers // 10)
@@ -72,7 +72,12 @@
 
 
 DAYS: dict[str, Callable[[int, int, float, int, float], Tier]] = {
-    "steady": steady, "killed": killed, "deaf": deaf, "joins": joins, "roll": roll}
+    "steady": steady,
+    "killed": killed,
+    "deaf": deaf,
+    "joins": joins,
+    "roll": roll,
+}
 
 
 def play(day: str, routers: int, engines: int, level: float, seed: int, seconds: float) -> str:
@@ -84,11 +89,13 @@
     parts = " ".join(f"{account.good[k] / max(1, account.came[k]):.2f}" for k in range(len(tier.mix)))
     pushed = max(e.worst_push for e in tier.engines.values())
     refused, idle = sum(account.refused.values()) / came, account.idle_refused / came
-    return (f"{day:7} {routers:4} routers {engines:3} engines at {level:.1f} seed {seed}: service "
-            f"{account.service:.3f} by class {parts}  refused {refused:.3f} with cores free {idle:.3f}  "
-            f"attempts {account.attempts / came:.2f}  threads median {account.quantile(0.5)} "
-            f"p99 {account.quantile(0.99)} most {max(account.held)}  cold push {pushed:.2f}  "
-            f"messages {account.told / tier.now * SECOND / routers:.0f}/s a router  CPU {took:.1f} s")
+    return (
+        f"{day:7} {routers:4} routers {engines:3} engines at {level:.1f} seed {seed}: service "
+        f"{account.service:.3f} by class {parts}  refused {refused:.3f} with cores free {idle:.3f}  "
+        f"attempts {account.attempts / came:.2f}  threads median {account.quantile(0.5)} "
+        f"p99 {account.quantile(0.99)} most {max(account.held)}  cold push {pushed:.2f}  "
+        f"messages {account.told / tier.now * SECOND / routers:.0f}/s a router  CPU {took:.1f} s"
+    )
 
 
 def main() -> None:
@@ -102,9 +109,13 @@
     parser.add_argument("--jobs", type=int, default=None)
     chosen = parser.parse_args()
     with ProcessPoolExecutor(chosen.jobs) as pool:
-        for line in [pool.submit(play, day, routers, chosen.engines, level, seed, chosen.seconds)
-                     for day in chosen.day for routers in chosen.routers for level in chosen.levels
-                     for seed in chosen.seeds]:
+        for line in [
+            pool.submit(play, day, routers, chosen.engines, level, seed, chosen.seconds)
+            for day in chosen.day
+            for routers in chosen.routers
+            for level in chosen.levels
+            for seed in chosen.seeds
+        ]:
             print(line.result(), flush=True)
 
 
--- a/benchmarks/quota.py
+++ b/benchmarks/quota.py
@@ -26,8 +26,9 @@
 
 def plan_for(size: int, rate: float, burst_s: float, wardens: int) -> Plan:
     term = 2_000 if size <= 40 else 4_000
-    return Plan(1, [Quota("q", rate, max(rate * burst_s, 1.0))], term_ms=term, longest_ms=term,
-                wardens=wardens)
+    return Plan(
+        1, [Quota("q", rate, max(rate * burst_s, 1.0))], term_ms=term, longest_ms=term, wardens=wardens
+    )
 
 
 def measured(fleet: QuotaFleet, rate: float, seconds: float, at: set[int] | None = None) -> float:
@@ -49,10 +50,12 @@
     began, before = fleet.now, sum(fleet.routers.network.bytes_from.values())
     health = measured(fleet, rate, 20)
     bytes_mean = (sum(fleet.routers.network.bytes_from.values()) - before) / size / 20
-    apart = [fleet.asked["q"].apart(began + second * SECOND, began + (second + 10) * SECOND)
-             for second in range(0, 11, 2)]
+    apart = [
+        fleet.asked["q"].apart(began + second * SECOND, began + (second + 10) * SECOND)
+        for second in range(0, 11, 2)
+    ]
     worst_apart, chance = max(apart, key=lambda pair: pair[0] - pair[1])
-    fleet.demands["q"] = demand[size // 2:] + demand[:size // 2]
+    fleet.demands["q"] = demand[size // 2 :] + demand[: size // 2]
     moved = [measured(fleet, rate, 1) for _ in range(4)]
     fleet.run(6)
     holder = min(range(size), key=lambda n: fleet.demands["q"][n] - 1e9 * _home(fleet, n))
@@ -80,17 +83,20 @@
     again = until_back(fleet, rate)
     worst = worst_burst(fleet.asked["q"].admitted(), rate)
     bound = plan.quotas[0].burst + excess(plan, plan.quotas[0], size)
-    return (f"{size:4} routers, seed {seed}, load {load:g}: use {health:.3f}, 0.8 of it {back:.1f} s after a "
-            f"start; rates at routers in the worst 10 s {worst_apart:.2f} apart, by chance {chance:.2f}; "
-            f"demand moved: each s {', '.join(f'{part:.2f}' for part in moved)}; "
-            f"holder dead: 2 s {at_once:.2f}, after {ended:g} s {later:.2f}; {len(larger)} of them after a "
-            f"cut {cut:.2f}; 3 in 10 left {few:.2f}; restart of all: 0.8 after {again:.1f} s; "
-            f"{bytes_mean:.0f} bytes/s a router; "
-            f"worst window {worst:.0f} of {bound:.0f}")
-
-
-def rolling(size: int, load: float, seed: int, wardens: int, every_s: float, orderly: bool, news: int,
-            term_ms: int) -> str:
+    return (
+        f"{size:4} routers, seed {seed}, load {load:g}: use {health:.3f}, 0.8 of it {back:.1f} s after a "
+        f"start; rates at routers in the worst 10 s {worst_apart:.2f} apart, by chance {chance:.2f}; "
+        f"demand moved: each s {', '.join(f'{part:.2f}' for part in moved)}; "
+        f"holder dead: 2 s {at_once:.2f}, after {ended:g} s {later:.2f}; {len(larger)} of them after a "
+        f"cut {cut:.2f}; 3 in 10 left {few:.2f}; restart of all: 0.8 after {again:.1f} s; "
+        f"{bytes_mean:.0f} bytes/s a router; "
+        f"worst window {worst:.0f} of {bound:.0f}"
+    )
+
+
+def rolling(
+    size: int, load: float, seed: int, wardens: int, every_s: float, orderly: bool, news: int, term_ms: int
+) -> str:
     """Each router ends and begins again 0.2 s later, one after another."""
     rate = 400.0
     demand = zipf(size, rate * load)
@@ -111,8 +117,10 @@
         used.append(last + 0.2 * down + rest * measured(fleet, rate, rest))
     worst, bound = worst_burst(fleet.asked["q"].admitted(), rate), rate + excess(plan, plan.quotas[0], size)
     assert worst <= bound, f"{worst} of {bound}"
-    return (f"{size:4} routers, seed {seed}, load {load:g}, {wardens} wardens, a restart each {every_s:g} s: "
-            f"use {sum(used) / size / every_s:.3f} meanwhile, {measured(fleet, rate, 4):.3f} in the next 4 s")
+    return (
+        f"{size:4} routers, seed {seed}, load {load:g}, {wardens} wardens, a restart each {every_s:g} s: "
+        f"use {sum(used) / size / every_s:.3f} meanwhile, {measured(fleet, rate, 4):.3f} in the next 4 s"
+    )
 
 
 def ask(fleet: QuotaFleet, at: set[int], rate: float) -> None:
@@ -132,7 +140,8 @@
 def _home(fleet: QuotaFleet, me: int) -> bool:
     machine = fleet.machine(me)
     return machine is not None and any(
-        account.shares.home > account.shares.reserve for account in machine.accounts.values())
+        account.shares.home > account.shares.reserve for account in machine.accounts.values()
+    )
 
 
 def tenants(size: int, count: int, seconds: float) -> str:
@@ -142,15 +151,18 @@
     plan = Plan(1, [Quota(name, 100, 200) for name in names], term_ms=term, longest_ms=term)
     rates = zipf(size, 110)
     demands: dict[str, Sequence[float]] = {
-        name: [rates[(me + n * 7) % size] for me in range(size)] for n, name in enumerate(names)}
+        name: [rates[(me + n * 7) % size] for me in range(size)] for n, name in enumerate(names)
+    }
     fleet = QuotaFleet(size, plan, demands, 1)
     fleet.run(term / 1000 + 2)
     before, since = dict(fleet.routers.network.bytes_from), fleet.now
     fleet.run(seconds)
     spent = [(fleet.routers.network.bytes_from[me] - before.get(me, 0)) / seconds for me in range(size)]
     use = sum(len(asked.admitted(since)) for asked in fleet.asked.values()) / 100 / count / seconds
-    return (f"{size:4} routers, {count} tenants: {sum(spent) / size:.0f} bytes/s a router, at most "
-            f"{max(spent):.0f}; use {use:.2f}")
+    return (
+        f"{size:4} routers, {count} tenants: {sum(spent) / size:.0f} bytes/s a router, at most "
+        f"{max(spent):.0f}; use {use:.2f}"
+    )
 
 
 CASES: tuple[tuple[str, dict[str, float]], ...] = (("without", {}), ("with", {"lookup": 0.5}))
@@ -195,8 +207,19 @@
     for every_s in chosen.rolling:
         for size in chosen.sizes:
             for seed in chosen.seeds:
-                print(rolling(size, chosen.loads[0], seed, chosen.wardens, every_s, not chosen.killed,
-                              chosen.news, chosen.term_ms), flush=True)
+                print(
+                    rolling(
+                        size,
+                        chosen.loads[0],
+                        seed,
+                        chosen.wardens,
+                        every_s,
+                        not chosen.killed,
+                        chosen.news,
+                        chosen.term_ms,
+                    ),
+                    flush=True,
+                )
     if chosen.rolling:
         return
     print(cost(), flush=True)
--- a/benchmarks/real.py
+++ b/benchmarks/real.py
@@ -43,8 +43,12 @@
         for profile in config["settings"]["profiles"]:
             if traffic := NAMES.get(profile["name"]):
                 spec = traffic.spec
-                profile |= {"promiseUs": spec.aim_us, "gain": spec.worth, "aimStretch": spec.aim_stretch,
-                            "lateWorth": spec.late_worth}
+                profile |= {
+                    "promiseUs": spec.aim_us,
+                    "gain": spec.worth,
+                    "aimStretch": spec.aim_stretch,
+                    "lateWorth": spec.late_worth,
+                }
         return config
 
 
@@ -58,10 +62,15 @@
 def play(routers: int, level: float, seed: int, seconds: float, kill: int = 0) -> str:
     rate = level * 8 * 8 * CAPACITY / sum(t.part * t.work_us / 1e6 for t in MIX)  # requests a second
     script = Script(
-        routers=routers, engines=8, seed=seed, seconds=seconds,
-        load=Load(lookups=rate * MIX[0].part, reports=rate * MIX[1].part, loads=0, lookup_ms=85,
-                  report_ms=2400),
-        do=(Action(at=seconds / 5, what="kill", routers=tuple(range(kill))),) if kill else ())
+        routers=routers,
+        engines=8,
+        seed=seed,
+        seconds=seconds,
+        load=Load(
+            lookups=rate * MIX[0].part, reports=rate * MIX[1].part, loads=0, lookup_ms=85, report_ms=2400
+        ),
+        do=(Action(at=seconds / 5, what="kill", routers=tuple(range(kill))),) if kill else (),
+    )
     with tempfile.TemporaryDirectory() as folder:
         verdict = asyncio.run(Measured(script, Path(folder)).play())
     counts = Counter((wish.service_class, ended(wish)) for wish in verdict.wishes)
@@ -71,8 +80,10 @@
         asked += count * spec.worth
         got += count * spec.worth * {"served": 1.0, "late": spec.late_worth}.get(how, 0.0)
     told = "  ".join(f"{name} {how} {count}" for (name, how), count in sorted(counts.items()))
-    return (f"{routers} routers at {level} seed {seed}: service {got / asked:.3f}  {told}  "
-            f"faults {len(verdict.faults)}  load {os.getloadavg()[0]:.0f}")
+    return (
+        f"{routers} routers at {level} seed {seed}: service {got / asked:.3f}  {told}  "
+        f"faults {len(verdict.faults)}  load {os.getloadavg()[0]:.0f}"
+    )
 
 
 class Pair(Rig):
@@ -84,17 +95,30 @@
         self.spent, self.counted = [0.0, 0.0], [0, 0]
         self.folder, self.counters = folder, dict[int, subprocess.Popen[bytes]]()
         for router, release in zip(self.routers, releases, strict=True):
-            router.program = ("-c", f"import sys; sys.path.insert(0, {str(release)!r})\n"
-                              "from slipbay.run import serve_until_end\nsys.exit(serve_until_end())")
+            router.program = (
+                "-c",
+                f"import sys; sys.path.insert(0, {str(release)!r})\n"
+                "from slipbay.run import serve_until_end\nsys.exit(serve_until_end())",
+            )
 
     def _came_up(self, life: Life) -> None:
         super()._came_up(life)
         number = life.router.number
         self.spent[number] -= cpu_s(life)
         if shutil.which("perf") and life.process is not None:
-            self.counters[number] = subprocess.Popen([
-                "perf", "stat", "-x,", "-e", "instructions:u", "-o", str(self.folder / f"count{number}"),
-                "-p", str(life.process.pid)])
+            self.counters[number] = subprocess.Popen(
+                [
+                    "perf",
+                    "stat",
+                    "-x,",
+                    "-e",
+                    "instructions:u",
+                    "-o",
+                    str(self.folder / f"count{number}"),
+                    "-p",
+                    str(life.process.pid),
+                ]
+            )
 
     async def _settle(self) -> None:
         for router in self.routers:
@@ -103,8 +127,9 @@
             counter.send_signal(signal.SIGINT)
             await asyncio.to_thread(counter.wait)
             told = (self.folder / f"count{number}").read_text()
-            self.counted[number] = next((int(line.partition(",")[0]) for line in told.splitlines()
-                                         if line[:1].isdigit()), 0)  # 0: the system does not let us count
+            self.counted[number] = next(
+                (int(line.partition(",")[0]) for line in told.splitlines() if line[:1].isdigit()), 0
+            )  # 0: the system does not let us count
 
 
 def cpu_s(life: Life) -> float:
@@ -132,14 +157,19 @@
         refused = Counter(answer.router for answer in verdict.answers if answer.outcome == "refused")
         costs = [1e6 * spent / asked[n] for n, spent in enumerate(rig.spent)]
         times.append(costs[seat] / costs[1 - seat])
-        line = (f"pair {number}: {costs[seat]:.0f} us a request, the other {costs[1 - seat]:.0f}, ratio "
-                f"{times[-1]:.3f}")
+        line = (
+            f"pair {number}: {costs[seat]:.0f} us a request, the other {costs[1 - seat]:.0f}, ratio "
+            f"{times[-1]:.3f}"
+        )
         if all(rig.counted):
             each = [counted / asked[n] / 1e3 for n, counted in enumerate(rig.counted)]
             counts.append(each[seat] / each[1 - seat])
             line += f"  {each[seat]:.0f} thousand instructions, {each[1 - seat]:.0f}, ratio {counts[-1]:.3f}"
-        print(f"{line}  refused {refused[seat]}, {refused[1 - seat]}  faults {len(verdict.faults)}  "
-              f"load {os.getloadavg()[0]:.0f}", flush=True)
+        print(
+            f"{line}  refused {refused[seat]}, {refused[1 - seat]}  faults {len(verdict.faults)}  "
+            f"load {os.getloadavg()[0]:.0f}",
+            flush=True,
+        )
     print(f"{pairs} pairs: CPU time {told(times)}")
     if len(counts) > 1:
         print(f"{len(counts)} pairs: instructions {told(counts)}")
--- a/benchmarks/scatter.py
+++ b/benchmarks/scatter.py
@@ -58,8 +58,11 @@
         self.sent: list[Attempt] = []
 
     def handle(self, now: int, events: Sequence[api.Event]) -> list[api.Action]:
-        return [api.Dispatch(event.query, b"s-%d" % (event.query % 10)) for event in events
-                if isinstance(event, api.QueryArrived)]
+        return [
+            api.Dispatch(event.query, b"s-%d" % (event.query % 10))
+            for event in events
+            if isinstance(event, api.QueryArrived)
+        ]
 
     def start(self, attempt: Attempt) -> Any:
         self.sent.append(attempt)
@@ -73,6 +76,7 @@
 
     def __init__(self) -> None:
         from slipbay.gather.seam import Enough, Wait
+
         self._enough, self._wait, self._out = Enough(), Wait(10**18), 0
 
     def begin(self, now: int, scattered: Scattered, deadline: int) -> Waits:
@@ -98,25 +102,59 @@
         clock, host = Clock(), All()
         spec = api.ServiceClass(SECOND // 2, 3 * SECOND, api.Effect.SAFE)
         timers = Timers(cast(Any, clock), cast(Any, clock))
-        core = Core(cast(Any, clock), cast(Any, clock), timers, host,
-                    api.Settings((spec, spec), max_attempts=4), 10**6, 10**9)
-        scattered = Scattered("report", "lookup", tuple(range(PARTS)), "{group}", ((0.5, 0.5), (1.0, 1.0)),
-                              0.1, SECOND)
+        core = Core(
+            cast(Any, clock),
+            cast(Any, clock),
+            timers,
+            host,
+            api.Settings((spec, spec), max_attempts=4),
+            10**6,
+            10**9,
+        )
+        scattered = Scattered(
+            "report", "lookup", tuple(range(PARTS)), "{group}", ((0.5, 0.5), (1.0, 1.0)), 0.1, SECOND
+        )
         scatterer = None
         if moments is not None:
             scatterer = Scatterer(
-                GatherPlan((scattered,), 256, 10**9), ("lookup", "report"), core, timers, moments(clock.us),
-                lambda engine, now: (1.0, False, 1.0), lambda name: False)
+                GatherPlan((scattered,), 256, 10**9),
+                ("lookup", "report"),
+                core,
+                timers,
+                moments(clock.us),
+                lambda engine, now: (1.0, False, 1.0),
+                lambda name: False,
+            )
         clock.us += 10 * SECOND
         began = time.process_time()
         for n in range(QUERIES):
             if scatterer is not None:
-                scatterer.submit(Request(f"{n:016x}", 1, 2 * SECOND, STATEMENT, host, cast(Any, host), 4000,
-                                         size=len(STATEMENT)))
+                scatterer.submit(
+                    Request(
+                        f"{n:016x}",
+                        1,
+                        2 * SECOND,
+                        STATEMENT,
+                        host,
+                        cast(Any, host),
+                        4000,
+                        size=len(STATEMENT),
+                    )
+                )
             else:
                 for part in range(PARTS):
-                    core.submit(Request(f"{n * PARTS + part:016x}", 0, 2 * SECOND, STATEMENT, host,
-                                        cast(Any, host), 250, size=len(STATEMENT)))
+                    core.submit(
+                        Request(
+                            f"{n * PARTS + part:016x}",
+                            0,
+                            2 * SECOND,
+                            STATEMENT,
+                            host,
+                            cast(Any, host),
+                            250,
+                            size=len(STATEMENT),
+                        )
+                    )
             clock.settle()
             sent, host.sent = host.sent, []
             for attempt in sent:
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -119,8 +119,13 @@
     return write
 
 
-async def drive(appender: Appender, open_appends: int, seconds: float, keys: int = 10**9,
-                busy: Callable[[], bool] | None = None) -> tuple[float, list[float], list[float]]:
+async def drive(
+    appender: Appender,
+    open_appends: int,
+    seconds: float,
+    keys: int = 10**9,
+    busy: Callable[[], bool] | None = None,
+) -> tuple[float, list[float], list[float]]:
     """Keep so many appends open; returns appends/s and latencies in ms, quiet and while ``busy``."""
     latencies: tuple[list[float], list[float]] = [], []
     began, count, over, left = time.perf_counter(), 0, asyncio.Event(), open_appends
@@ -170,8 +175,10 @@
                 appender = OneByOne(partial(one_sync_a_record if "sync" in name else sqlite, place))
             rate, latencies, _ = await drive(appender, open_appends, seconds)
             appender.close()
-            click.echo(f"{name:<18} {open_appends:>4} {rate:>8.0f} {percentile(latencies, 0.5):>8.2f} "
-                       f"{percentile(latencies, 0.99):>8.2f}")
+            click.echo(
+                f"{name:<18} {open_appends:>4} {rate:>8.0f} {percentile(latencies, 0.5):>8.2f} "
+                f"{percentile(latencies, 0.99):>8.2f}"
+            )
 
 
 async def compaction(folder: Path, seconds: float) -> None:
@@ -182,16 +189,22 @@
     assert store is not None
     for number in range(0, 40_000, 2000):
         ready = asyncio.Event()
-        appender.writer.append([(b"request:%016x" % n, VALUE) for n in range(number, number + 2000)],
-                               lambda problem, ready=ready: ready.set())  # type: ignore[misc]
+        appender.writer.append(
+            [(b"request:%016x" % n, VALUE) for n in range(number, number + 2000)],
+            lambda problem, ready=ready: ready.set(),  # type: ignore[misc]
+        )
         await ready.wait()
     _, quiet, busy = await drive(appender, 64, seconds, 40_000, lambda: store._merge is not None)
     totals = store.totals
     appender.close()
-    click.echo(f"compaction         {totals.compactions} merges; p99 quiet {percentile(quiet, 0.99):.2f} ms "
-               f"({len(quiet)}), during {percentile(busy, 0.99) if busy else 0:.2f} ms ({len(busy)})")
-    click.echo(f"                   bytes written per byte appended "
-               f"{(totals.bytes_appended + totals.bytes_copied) / totals.bytes_appended:.2f}")
+    click.echo(
+        f"compaction         {totals.compactions} merges; p99 quiet {percentile(quiet, 0.99):.2f} ms "
+        f"({len(quiet)}), during {percentile(busy, 0.99) if busy else 0:.2f} ms ({len(busy)})"
+    )
+    click.echo(
+        f"                   bytes written per byte appended "
+        f"{(totals.bytes_appended + totals.bytes_copied) / totals.bytes_appended:.2f}"
+    )
 
 
 def fill(folder: Path, count: int) -> None:
@@ -226,8 +239,9 @@
         key = b"json:%016x" % number
         ledger.ask(key, VALUE[:16], True, number)
         entry = ledger.entries[key]
-        records.update(ledger.intend(
-            entry, Intent(0, b"s-00c41f7a", 0, "http", key.decode(), 0, number, number), number))
+        records.update(
+            ledger.intend(entry, Intent(0, b"s-00c41f7a", 0, "http", key.decode(), 0, number, number), number)
+        )
         ledger.leaves(entry, 0)
         records.update(change for change in ledger.serve(entry, b"x", True, number) if change[0][:1] == b"r")
     del ledger
@@ -240,12 +254,15 @@
     again.load(kept)
     size, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    click.echo(f"ledger             {count:>8} keys in {took:.3f} s, {count / took:,.0f} keys/s, "
-               f"{size / count:.0f} bytes of memory each")
+    click.echo(
+        f"ledger             {count:>8} keys in {took:.3f} s, {count / took:,.0f} keys/s, "
+        f"{size / count:.0f} bytes of memory each"
+    )
 
 
 async def pauses(folder: Path, seconds: float) -> None:
     """The loop's longest time between two turns, idle and with the store reading and writing beside it."""
+
     async def longest(until: Callable[[], bool]) -> float:
         worst, last = 0.0, time.perf_counter()
         while not until():
@@ -263,8 +280,10 @@
     task = asyncio.create_task(drive(appender, 64, seconds, 40_000))
     writing = await longest(task.done)
     appender.close()
-    click.echo(f"longest pause      idle {idle:.1f} ms, while 10^5 records are read {reading:.1f} ms, "
-               f"under 64 open appends {writing:.1f} ms")
+    click.echo(
+        f"longest pause      idle {idle:.1f} ms, while 10^5 records are read {reading:.1f} ms, "
+        f"under 64 open appends {writing:.1f} ms"
+    )
 
 
 def slower_syncs(ms: float) -> None:
@@ -304,13 +323,16 @@
     _, latencies, _ = await drive(appender, 1, 2)
     appender.close()
     commit = percentile(latencies, 0.5)
-    click.echo(f"ticket-load        {name}: {off:.2f} ms with the store off, {on:.2f} ms on: "
-               f"{(on - off) / commit:.1f} commits of {commit:.2f} ms")
+    click.echo(
+        f"ticket-load        {name}: {off:.2f} ms with the store off, {on:.2f} ms on: "
+        f"{(on - off) / commit:.1f} commits of {commit:.2f} ms"
+    )
 
 
 @click.command()
-@click.option("--folder", type=click.Path(file_okay=False, path_type=Path),
-              help="On the disk to be measured.")
+@click.option(
+    "--folder", type=click.Path(file_okay=False, path_type=Path), help="On the disk to be measured."
+)
 @click.option("--seconds", default=3.0, help="For each figure on appends.")
 def main(folder: Path | None, seconds: float) -> None:
     """Measure the durable store on a disk."""
--- a/martenkeel/decide.py
+++ b/martenkeel/decide.py
@@ -5,6 +5,7 @@
 each second the bound becomes the delay prediction plus a PI correction; held queries leave first in, first
 out to the engine holding fewest. All else is an exception or a guard (docs/design.md).
 """
+
 from __future__ import annotations
 
 from collections.abc import Sequence
@@ -136,8 +137,12 @@
         age = now - (cls.queue[0].arrived + cls.queue[-1].arrived) / 2 if cls.queue else 0.0
         ahead = 2 * (AIM_SHARE * cls.spec.aim_us + cls.run_time(cls.usual) - age)
         most = max(0.0, ahead) * cls.spec.threads
-        out = sum(min(q.cost * a.left, most)
-                  for q in cls.present.values() for a in q.out.values() if not a.engine.ill)
+        out = sum(
+            min(q.cost * a.left, most)
+            for q in cls.present.values()
+            for a in q.out.values()
+            if not a.engine.ill
+        )
         forward = cls.rate / SECOND * ahead - out
         cls.bound = min(max(forward + cls.delta, 0.0), QUEUE_LIMIT * cls.largest)
 
@@ -177,8 +182,11 @@
                 query = cls.queue[0]
                 late = now + cls.run_time(query.cost) > query.arrived + cls.aim(query.cost)
                 late &= self.pressed(now) or not cls.spec.late_worth
-                if (late or now + query.needs > query.deadline if not query.sent
-                        else not self.may_retry(query, now, query.maybe_since)):
+                if (
+                    late or now + query.needs > query.deadline
+                    if not query.sent
+                    else not self.may_retry(query, now, query.maybe_since)
+                ):
                     self.answer(query, now)  # cannot be in time, or its leave for another attempt has passed
                     continue
                 engine = self.pick(query, now)
@@ -202,16 +210,24 @@
         home = None if spec.is_load else self.homes.draw(query.group, self.random)
         idle = [e for e in fits if e.idle and e not in sick] if self.line.few else []
         turn = self.line.ready(now)  # to open a connection, as all come back at once; under pressure the best
-        joins = [e for e in idle if not turn or not pressed and e.threads + e.others * told
-                 < THREADS_PER_CORE * e.cores * e.capacity(now, self.settings)]
+        joins = [
+            e
+            for e in idle
+            if not turn
+            or not pressed
+            and e.threads + e.others * told < THREADS_PER_CORE * e.cores * e.capacity(now, self.settings)
+        ]
         if not (joins or turn):
             return None
         if told and not joins:  # what all gateways know would send them all to the same engine
             near = fits if pressed else sorted(fits, key=lambda e: e.distance(self.settings.zone))[:NEAR]
             few = not pressed or query.cls is self.first()  # the others are held back by their lots
             drawn = self.random.sample(near, min(SAMPLE, len(near))) if few else near
-            fits = [e for e in fits if e in sick or e.entry.engine == home or e in drawn
-                    or e.capacity(now, self.settings) < 1]  # cold: few may send it anything, so those do
+            fits = [
+                e
+                for e in fits
+                if e in sick or e.entry.engine == home or e in drawn or e.capacity(now, self.settings) < 1
+            ]  # cold: few may send it anything, so those do
         best: tuple[tuple[float, ...], Engine] | None = None
         for e in joins or fits:
             trial = e.ill and self.trials >= 1 and spec.effect is Effect.SAFE
@@ -249,8 +265,11 @@
     def allowed(self, query: Query, e: Engine, now: int) -> bool:
         """The rules alone: list state, placement, duplicates of keyed queries, the cold budget."""
         spec, entry = query.cls.spec, e.entry
-        fits = (entry.state is EngineState.READY and (spec.zones is None or entry.zone in spec.zones)
-                and (spec.kinds is None or entry.kind in spec.kinds))
+        fits = (
+            entry.state is EngineState.READY
+            and (spec.zones is None or entry.zone in spec.zones)
+            and (spec.kinds is None or entry.kind in spec.kinds)
+        )
         if query.ran_on and spec.effect is Effect.KEYED and spec.dedup_scope is not api.Scope.ALL:
             first, cell = query.ran_on.entry, spec.dedup_scope is api.Scope.CELL
             fits &= (first.zone, first.cell * cell) == (entry.zone, entry.cell * cell)
@@ -405,8 +424,11 @@
             return False
         room, span = settings.extra_free or 0.0, now - settings.extra_window_us
         room += settings.extra_share * self.taken.since(span) - self.extras.since(span) - owed
-        return (query.sent < settings.max_attempts and now < query.deadline - LEAVE * settings.tick_us
-                and (settings.extra_free is None or room >= 1))
+        return (
+            query.sent < settings.max_attempts
+            and now < query.deadline - LEAVE * settings.tick_us
+            and (settings.extra_free is None or room >= 1)
+        )
 
     def blame(self, query: Query, e: Engine, outcome: Outcome, again: bool, now: int) -> bool:
         """Judge the engine, but for an error only once another has answered the query well: what none can run
--- a/martenkeel/interface.py
+++ b/martenkeel/interface.py
@@ -142,15 +142,26 @@
             "cold_multiple above 0": self.cold_multiple > 0,
             "cores above 0": all(cores > 0 for cores in self.kind_cores),
             "times and shares not negative": min(
-                self.answer_slack_us, self.max_retry_after_us, self.ask_within_us, self.progress_us,
-                self.drain_grace_us, self.cold_window_us, self.ramp_us, self.key_rest_us,
-                self.extra_free or 0.0, self.extra_share, self.extra_window_us) >= 0,
+                self.answer_slack_us,
+                self.max_retry_after_us,
+                self.ask_within_us,
+                self.progress_us,
+                self.drain_grace_us,
+                self.cold_window_us,
+                self.ramp_us,
+                self.key_rest_us,
+                self.extra_free or 0.0,
+                self.extra_share,
+                self.extra_window_us,
+            )
+            >= 0,
         }
         for number, item in enumerate(self.classes):
             checks[f"class {number}: aim and deadline above 0"] = item.aim_us > 0 and item.deadline_us > 0
             checks[f"class {number}: threads at least 1"] = item.threads >= 1
             checks[f"class {number}: worth, late worth, stretch and window not negative"] = (
-                min(item.worth, item.late_worth, item.aim_stretch, item.dedup_window_us) >= 0)
+                min(item.worth, item.late_worth, item.aim_stretch, item.dedup_window_us) >= 0
+            )
         for rule, kept in checks.items():
             if not kept:
                 raise ValueError(f"invalid settings: want {rule}")
@@ -301,8 +312,21 @@
     opens: float = float("inf")
 
 
-Event: TypeAlias = (EngineList | QueryArrived | StreamBegun | AttemptNote | AttemptEnded | QueryGone
-                    | TimerFired | ProbeEnded | PeerMessage | Remembered | FleetSize | Inherited | ComingBack)
+Event: TypeAlias = (
+    EngineList
+    | QueryArrived
+    | StreamBegun
+    | AttemptNote
+    | AttemptEnded
+    | QueryGone
+    | TimerFired
+    | ProbeEnded
+    | PeerMessage
+    | Remembered
+    | FleetSize
+    | Inherited
+    | ComingBack
+)
 
 # Actions
 
@@ -385,8 +409,20 @@
     pass
 
 
-Action: TypeAlias = (Dispatch | Cancel | Refuse | Fail | SetTimer | SetTerms | Probe | CloseIdle
-                     | TellPeers | Log | WatchList | FetchList)
+Action: TypeAlias = (
+    Dispatch
+    | Cancel
+    | Refuse
+    | Fail
+    | SetTimer
+    | SetTerms
+    | Probe
+    | CloseIdle
+    | TellPeers
+    | Log
+    | WatchList
+    | FetchList
+)
 
 
 class Decider(Protocol):
--- a/martenkeel/state.py
+++ b/martenkeel/state.py
@@ -192,7 +192,7 @@
     def tidy(self, most: int) -> None:
         """Forget rare groups where there are more."""
         if len(self.seen) > most:
-            self.seen = dict(sorted(self.seen.items(), key=lambda item: -item[1])[:most // 2])
+            self.seen = dict(sorted(self.seen.items(), key=lambda item: -item[1])[: most // 2])
             self.arcs = {}
 
     def settle(self, engines: Iterable[api.EngineId]) -> None:
@@ -234,7 +234,7 @@
         period, is_sum = HEAD.unpack_from(body)
         if period != self.period % 2**32:
             return False
-        told = dict(ITEM.iter_unpack(body[HEAD.size:]))
+        told = dict(ITEM.iter_unpack(body[HEAD.size :]))
         if not is_sum:
             self.heard += 1
             for digest, threads in told.items():
@@ -246,7 +246,9 @@
 
     def pack(self, threads: dict[int, int], is_sum: bool) -> bytes:
         most = sorted(threads.items(), key=lambda item: (-item[1], item[0]))
-        items = [ITEM.pack(digest, min(n, 255)) for digest, n in most[:(MOST_BYTES - HEAD.size) // ITEM.size]]
+        items = [
+            ITEM.pack(digest, min(n, 255)) for digest, n in most[: (MOST_BYTES - HEAD.size) // ITEM.size]
+        ]
         return HEAD.pack(self.period % 2**32, is_sum) + b"".join(items)
 
 
@@ -353,8 +355,16 @@
         """The record of a query that has come."""
         cls = self.classes[event.service_class]
         told = float(event.told_cost_us or cls.told.value() or cls.spec.aim_us)
-        query = Query(event.query, cls, now, now + event.expires_in_us, told, told * cls.bias.value(1.0),
-                      event.group, event.order_key if cls.spec.in_order else 0)
+        query = Query(
+            event.query,
+            cls,
+            now,
+            now + event.expires_in_us,
+            told,
+            told * cls.bias.value(1.0),
+            event.group,
+            event.order_key if cls.spec.in_order else 0,
+        )
         query.needs = cls.run_time(query.cost) * bool(event.told_cost_us)
         self.queries[query.id] = cls.present[query.id] = query
         self.taken.add(now)
@@ -386,10 +396,12 @@
         """What another gateway may begin with; ``groups``: how many at the most. Changes nothing."""
         most = sorted(self.homes.seen.items(), key=lambda item: (-item[1], item[0]))[:groups]
         return api.Inherited(
-            self.paces.value(), self.best_pace,
+            self.paces.value(),
+            self.best_pace,
             tuple((c.told.value(), c.done.value(), c.bias.value()) for c in self.classes),
             tuple((e.digest, max(0, now - e.word)) for e in self.engines.values() if e.ill and e.word),
-            tuple((group, float(count)) for group, count in most))
+            tuple((group, float(count)) for group, count in most),
+        )
 
     def tidy(self, now: int, since: int, groups: int) -> None:
         """Forget work sent before ``since``, engines gone with nothing of ours left, locks and rests that
--- a/martenkeel/wire.py
+++ b/martenkeel/wire.py
@@ -163,14 +163,16 @@
 def _tail(tail: memoryview, offset: int, size: int) -> memoryview:
     if offset + size > len(tail):
         raise MalformedFrame(f"a field points to bytes {offset} to {offset + size} of a tail of {len(tail)}")
-    return tail[offset:offset + size]
+    return tail[offset : offset + size]
 
 
 def _entries(tail: memoryview, offset: int, count: int) -> tuple[api.EngineEntry, ...]:
     return tuple(
         api.EngineEntry(engine, zone, kind, cell, api.EngineState(state), size, ready_at)
-        for engine, zone, kind, cell, state, size, ready_at
-        in ENTRY.iter_unpack(_tail(tail, offset, count * ENTRY.size)))
+        for engine, zone, kind, cell, state, size, ready_at in ENTRY.iter_unpack(
+            _tail(tail, offset, count * ENTRY.size)
+        )
+    )
 
 
 def _report(count: int, *values: float) -> api.LoadReport | None:
@@ -204,9 +206,21 @@
 
 def _submit(record: memoryview, tail: memoryview, lists: Lists) -> Item:
     _, who, query, category, tenant, key, expires, cost, memory, group, marks = SUBMIT.unpack(record)
-    return Arrived(who, api.QueryArrived(
-        query, category, expires, cost if marks & COST_VALID else None, memory, group, key, tenant,
-        bool(marks & CLIENT_REPEAT), bool(marks & WRITE)))
+    return Arrived(
+        who,
+        api.QueryArrived(
+            query,
+            category,
+            expires,
+            cost if marks & COST_VALID else None,
+            memory,
+            group,
+            key,
+            tenant,
+            bool(marks & CLIENT_REPEAT),
+            bool(marks & WRITE),
+        ),
+    )
 
 
 def _begun(record: memoryview, tail: memoryview, lists: Lists) -> Item:
@@ -223,9 +237,20 @@
     _, who, query, shot, engine, code, duration, complete, note, count, *values = REPORT_BACK.unpack(record)
     outcome = _outcome(code)
     work = (note >> 12) * 1000 if note and outcome is api.Outcome.OK else None
-    return Arrived(who, api.AttemptEnded(
-        query, shot, engine, outcome, duration, bool(complete), work, (note & 0xFFF) * 4.0,
-        _report(count, *values)))
+    return Arrived(
+        who,
+        api.AttemptEnded(
+            query,
+            shot,
+            engine,
+            outcome,
+            duration,
+            bool(complete),
+            work,
+            (note & 0xFFF) * 4.0,
+            _report(count, *values),
+        ),
+    )
 
 
 def _dropped(record: memoryview, tail: memoryview, lists: Lists) -> Item:
@@ -250,8 +275,17 @@
 
 REGISTER_CODE = 6
 READERS: dict[int, Callable[[memoryview, memoryview, Lists], Item]] = {
-    1: _probed, 2: _peers_known, 3: _timeout_fired, 4: _dropped, 5: _update_of, 7: _teardown, 8: _whisper,
-    9: _report_back, 10: _start, 11: _submit, 12: _begun,
+    1: _probed,
+    2: _peers_known,
+    3: _timeout_fired,
+    4: _dropped,
+    5: _update_of,
+    7: _teardown,
+    8: _whisper,
+    9: _report_back,
+    10: _start,
+    11: _submit,
+    12: _begun,
 }
 
 
@@ -260,9 +294,9 @@
     if count * EVENT_SIZE > len(payload):
         raise MalformedFrame(f"{count} records do not fit in {len(payload)} bytes")
     view = memoryview(payload)
-    tail = view[count * EVENT_SIZE:]
+    tail = view[count * EVENT_SIZE :]
     for start in range(0, count * EVENT_SIZE, EVENT_SIZE):
-        record = view[start:start + EVENT_SIZE]
+        record = view[start : start + EVENT_SIZE]
         try:
             if record[0] == REGISTER_CODE:
                 _, slot, offset, size = REGISTER.unpack(record)
--- a/martenkeel/wirehost.py
+++ b/martenkeel/wirehost.py
@@ -17,8 +17,9 @@
     return data
 
 
-def run_instance(who: int, controller: Controller | None, now: int, events: list[Event],
-                 reply: wire.Reply) -> None:
+def run_instance(
+    who: int, controller: Controller | None, now: int, events: list[Event], reply: wire.Reply
+) -> None:
     """Let one instance act; what goes wrong inside the decisions is told as its internal error."""
     if controller is None:
         raise wire.MalformedFrame(f"events for instance {who}, which has not started")
--- a/slipbay/__main__.py
+++ b/slipbay/__main__.py
@@ -13,8 +13,10 @@
     if len(sys.argv) == 1:
         signal.pthread_sigmask(signal.SIG_BLOCK, HELD)
         from slipbay.run import serve_until_end
+
         return serve_until_end()
     from slipbay.cli import main as command_line
+
     command_line(prog_name="slipbay")
     return 0
 
--- a/slipbay/back/http.py
+++ b/slipbay/back/http.py
@@ -44,8 +44,13 @@
         else:
             self.usable()
 
-    def call(self, request: bytes, responded: Callable[[http1.Response], None], cut: Callable[[], None],
-             due: int = 0) -> None:
+    def call(
+        self,
+        request: bytes,
+        responded: Callable[[http1.Response], None],
+        cut: Callable[[], None],
+        due: int = 0,
+    ) -> None:
         self._responded, self._cut, self.due = responded, cut, due
         self.write(request)
 
@@ -84,8 +89,9 @@
 class HttpExchange:
     """One attempt on one engine."""
 
-    def __init__(self, back: HttpBack, attempt: Attempt, pool: Pool[HttpConnection],
-                 resumed: bool = False) -> None:
+    def __init__(
+        self, back: HttpBack, attempt: Attempt, pool: Pool[HttpConnection], resumed: bool = False
+    ) -> None:
         """``resumed``: the query was sent in an earlier life, and is only asked for."""
         self._back, self._attempt, self._pool = back, attempt, pool
         self._path = f"/obj/{attempt.request.name}"
@@ -127,8 +133,12 @@
     def _post(self, connection: HttpConnection) -> None:
         request, now = self._attempt.request, self._back.now()
         left = request.deadline - now
-        headers = [("X-Hop-Id", request.name), ("X-Sort", self._back.classes[request.service_class]),
-                   ("X-Budget", str(max(1, left // 1000))), ("X-Urgency", str(request.priority))]
+        headers = [
+            ("X-Hop-Id", request.name),
+            ("X-Sort", self._back.classes[request.service_class]),
+            ("X-Budget", str(max(1, left // 1000))),
+            ("X-Urgency", str(request.priority)),
+        ]
         if request.grant_mb > 0:
             headers.append(("X-Allot", f"{request.grant_mb:.0f}"))
         assert isinstance(request.work, bytes)
@@ -150,8 +160,7 @@
     def _call(self, connection: HttpConnection, request: bytes) -> None:
         self._main, self._hung_up = connection, False
         self._before, self._asked = self._asked, self._back.now()
-        connection.call(request, lambda response: self._responded(connection, response),
-                        self._cut)
+        connection.call(request, lambda response: self._responded(connection, response), self._cut)
         self._asked = self._back.exact()  # we may have stood still since this turn began
         if self._check is None or self._sheets:  # pages come at once, long before the check on the news
             if self._check is not None:
@@ -196,8 +205,11 @@
         patience = self._patience_us
         if unasked >= patience and self._stopping is None and self._noted is None and not self._unknown:
             self._look_again()
-        due = self._asked + patience if unasked < patience else min(
-            self._back.now() + RETRY_US, self._asked + LOST_US)
+        due = (
+            self._asked + patience
+            if unasked < patience
+            else min(self._back.now() + RETRY_US, self._asked + LOST_US)
+        )
         if self._silent_post:
             due = min(due, self._sent + HOLD_US + TRANSIT_US)
         if self._check is None and not self._over:  # an idle connection was at hand: the call set its own
@@ -207,8 +219,12 @@
 
     def _responded(self, connection: HttpConnection, response: http1.Response) -> None:
         if self._spoilt(response):
-            log("engine", "an answer is spoilt; the connection is closed", engine=self._pool.engine,
-                request=self._attempt.request.name)
+            log(
+                "engine",
+                "an answer is spoilt; the connection is closed",
+                engine=self._pool.engine,
+                request=self._attempt.request.name,
+            )
             connection.abort()
             self._cut()
             return
@@ -287,8 +303,12 @@
         self._sheets = self._sheets or int(response.headers["x-sheets"])
         self._pages.append(response.body)
         if sum(map(len, self._pages)) > MOST_RESULT_BYTES:
-            log("engine", "a result is longer than any may be", engine=self._pool.engine,
-                request=self._attempt.request.name)
+            log(
+                "engine",
+                "a result is longer than any may be",
+                engine=self._pool.engine,
+                request=self._attempt.request.name,
+            )
             connection.done_with(response)
             self._finish(self._stopping or Outcome.ERROR)
         elif len(self._pages) == self._sheets:
@@ -401,8 +421,9 @@
 
     def set_priority(self, priority: int) -> None:
         if self._posted and not self._sheets and not self._over:
-            self._back.fire_and_forget(self._pool, http1.request(
-                "PUT", self._path, self._pool_host(), body=str(priority).encode()))
+            self._back.fire_and_forget(
+                self._pool, http1.request("PUT", self._path, self._pool_host(), body=str(priority).encode())
+            )
 
     def _finish(self, outcome: Outcome) -> None:
         if self._over:
@@ -426,8 +447,9 @@
 
     wire = "http"
 
-    def __init__(self, config: Config, timers: Timers, dialer: Dialer, sockets: Sockets,
-                 now: Callable[[], int]) -> None:
+    def __init__(
+        self, config: Config, timers: Timers, dialer: Dialer, sockets: Sockets, now: Callable[[], int]
+    ) -> None:
         self._config, self.timers, self.now = config, timers, now
         self.exact = now  # the time as it is, which may be past this turn's
         self._dialer, self._sockets, self.soon = dialer, sockets, dialer.loop.call_soon
@@ -446,13 +468,22 @@
             pool = self._pools.get(engine)
             if pool is None:
                 self._pools[engine] = pool = Pool(
-                    engine, host.address, self._connection, self._dialer, self.timers, self._sockets,
-                    self.now, self._config.connect_timeout_us, self._config.idle_us)
+                    engine,
+                    host.address,
+                    self._connection,
+                    self._dialer,
+                    self.timers,
+                    self._sockets,
+                    self.now,
+                    self._config.connect_timeout_us,
+                    self._config.idle_us,
+                )
                 pool.gone = gone
             elif gone:
                 pool.renew(pool.address, gone=True)
-            elif (pool.gone or pool.address != host.address
-                    or self._born.get(engine) != host.entry.ready_at_us):
+            elif (
+                pool.gone or pool.address != host.address or self._born.get(engine) != host.entry.ready_at_us
+            ):
                 pool.renew(host.address, gone=False)
             self._born[engine] = host.entry.ready_at_us
 
@@ -496,8 +527,12 @@
                 connection.done_with(response)
                 end({200: Outcome.OK, 503: Outcome.FULL}.get(response.status, Outcome.ERROR))
 
-            connection.call(http1.request("GET", "/ping", connection.pool.host), responded,
-                            lambda: end(Outcome.RESET), self.now() + ANSWER_US)
+            connection.call(
+                http1.request("GET", "/ping", connection.pool.host),
+                responded,
+                lambda: end(Outcome.RESET),
+                self.now() + ANSWER_US,
+            )
 
         timer = self.timers.after(2 * self._config.connect_timeout_us, lambda: end(Outcome.TIMEOUT))
         pool.acquire(send, lambda trouble: end(Outcome.CONNECT_FAILED))
--- a/slipbay/back/mysql.py
+++ b/slipbay/back/mysql.py
@@ -57,8 +57,11 @@
                 if self.lost:
                     return
         except (mysql.MalformedPacket, mysql.PacketTooLarge) as problem:
-            log("engine", f"{type(problem).__name__}: {problem}; the connection is closed",
-                engine=self.pool.engine)
+            log(
+                "engine",
+                f"{type(problem).__name__}: {problem}; the connection is closed",
+                engine=self.pool.engine,
+            )
             self.abort()
 
     def send(self, payload: bytes, sequence: int = 0) -> None:
@@ -78,8 +81,19 @@
         capabilities = mysql.CAPABILITIES & ~mysql.CONNECT_ATTRS & told.capabilities
         if not self._config.schema:
             capabilities &= ~mysql.CONNECT_WITH_DB
-        self.send(mysql.login(mysql.Login(capabilities, mysql.UTF8MB4, self._config.engine_user, proof or b"",
-                                          self._config.schema, plugin)), sequence + 1)
+        self.send(
+            mysql.login(
+                mysql.Login(
+                    capabilities,
+                    mysql.UTF8MB4,
+                    self._config.engine_user,
+                    proof or b"",
+                    self._config.schema,
+                    plugin,
+                )
+            ),
+            sequence + 1,
+        )
 
     def _authenticated(self, sequence: int, payload: bytes) -> None:
         match payload[0] if payload else None:
@@ -111,8 +125,14 @@
 
     # Commands
 
-    def call(self, payloads: list[bytes], reader: AnswerReader, done: Callable[[], None],
-             cut: Callable[[], None], due: int = 0) -> None:
+    def call(
+        self,
+        payloads: list[bytes],
+        reader: AnswerReader,
+        done: Callable[[], None],
+        cut: Callable[[], None],
+        due: int = 0,
+    ) -> None:
         """Send commands of which the last one is answered."""
         self._reader, self._done, self._cut, self._taken, self.due = reader, done, cut, 0, due
         self.write(b"".join(mysql.packets([payload], 0)[0] for payload in payloads))
@@ -167,8 +187,12 @@
             self._execute(connection, connection.statements[work.sql][0])
         else:
             reader = mysql.PrepareReader()
-            connection.call([bytes([mysql.COM_STMT_PREPARE]) + work.sql], reader,
-                            lambda: self._prepared(connection, reader), self._cut)
+            connection.call(
+                [bytes([mysql.COM_STMT_PREPARE]) + work.sql],
+                reader,
+                lambda: self._prepared(connection, reader),
+                self._cut,
+            )
 
     def _prepared(self, connection: MysqlConnection, reader: mysql.PrepareReader) -> None:
         if reader.error is not None:
@@ -191,9 +215,13 @@
     def _execute(self, connection: MysqlConnection, statement: int) -> None:
         run = self._work.run
         assert run is not None
-        self._run(connection, [
-            *(mysql.long_data(statement, number, data) for number, data in run.long_data.items()),
-            mysql.execute(statement, run)])
+        self._run(
+            connection,
+            [
+                *(mysql.long_data(statement, number, data) for number, data in run.long_data.items()),
+                mysql.execute(statement, run),
+            ],
+        )
 
     def _run(self, connection: MysqlConnection, payloads: list[bytes]) -> None:
         self.attempt.permit(MysqlBack.wire, connection.thread, lambda: self._leave(connection, payloads))
@@ -228,8 +256,9 @@
 
     def _unreachable(self, trouble: Trouble) -> None:
         self._wait = None
-        self._finish({Trouble.FULL: Outcome.FULL, Trouble.NO_ROOM: Outcome.MOOT}.get(
-            trouble, Outcome.CONNECT_FAILED))
+        self._finish(
+            {Trouble.FULL: Outcome.FULL, Trouble.NO_ROOM: Outcome.MOOT}.get(trouble, Outcome.CONNECT_FAILED)
+        )
 
     def _cut(self) -> None:
         self._hung_up = self._connection is not None and not self._connection.ours
@@ -253,9 +282,14 @@
 
     def _prove(self) -> None:
         if not self._over and self._proof is None:
-            self._proof = ThreadEnd(self._back, self._pool, self._thread,
-                                    self.attempt.request.deadline + PROVE_US,
-                                    lambda: self._finish(self._outcome), lambda: self._hung_up)
+            self._proof = ThreadEnd(
+                self._back,
+                self._pool,
+                self._thread,
+                self.attempt.request.deadline + PROVE_US,
+                lambda: self._finish(self._outcome),
+                lambda: self._hung_up,
+            )
 
     def set_priority(self, priority: int) -> None:
         """The protocol has no word for it."""
@@ -277,9 +311,16 @@
 class ThreadEnd:
     """Kills a server's thread until the server knows no such thread; then, or when time is up, ``done``."""
 
-    def __init__(self, back: MysqlBack, pool: Pool[MysqlConnection], thread: int, until: int,
-                 done: Callable[[], None], hung_up: Callable[[], bool],
-                 born_before: int | None = None) -> None:
+    def __init__(
+        self,
+        back: MysqlBack,
+        pool: Pool[MysqlConnection],
+        thread: int,
+        until: int,
+        done: Callable[[], None],
+        hung_up: Callable[[], bool],
+        born_before: int | None = None,
+    ) -> None:
         """``hung_up``: whether the engine closed the connection that the thread belongs to; without that a
         refused connection is no sign of death, as an engine that is full may refuse too.
         ``born_before``: the thread is killed only where the server's process is older than that."""
@@ -339,8 +380,11 @@
                 return
             connection.release()
             if age is None:
-                log("engine", "it tells no uptime; a thread of an earlier life is not killed",
-                    engine=self._pool.engine)
+                log(
+                    "engine",
+                    "it tells no uptime; a thread of an earlier life is not killed",
+                    engine=self._pool.engine,
+                )
             self._end()
 
         self._call(connection, b"SHOW GLOBAL STATUS LIKE 'Uptime'", reader, answered)
@@ -369,10 +413,20 @@
 
         self._call(connection, b"KILL %d" % self._thread, reader, answered)
 
-    def _call(self, connection: MysqlConnection, statement: bytes, reader: AnswerReader,
-              answered: Callable[[], None]) -> None:
-        connection.call([bytes([mysql.COM_QUERY]) + statement], reader, answered, self._later,
-                        self._back.now() + ANSWER_US)
+    def _call(
+        self,
+        connection: MysqlConnection,
+        statement: bytes,
+        reader: AnswerReader,
+        answered: Callable[[], None],
+    ) -> None:
+        connection.call(
+            [bytes([mysql.COM_QUERY]) + statement],
+            reader,
+            answered,
+            self._later,
+            self._back.now() + ANSWER_US,
+        )
 
 
 class MysqlBack:
@@ -380,16 +434,32 @@
 
     wire = "mysql"
 
-    def __init__(self, config: Config, mysql_config: MysqlConfig, timers: Timers, dialer: Dialer,
-                 sockets: Sockets, now: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        config: Config,
+        mysql_config: MysqlConfig,
+        timers: Timers,
+        dialer: Dialer,
+        sockets: Sockets,
+        now: Callable[[], int],
+    ) -> None:
         self.timers, self.now = timers, now
         self._mysql = mysql_config
         self.exchanges: dict[EngineId, set[MysqlExchange]] = {}
         self._pools: dict[EngineId, Pool[MysqlConnection]] = {}
         for engine, address in mysql_config.engines.items():
             self.exchanges[engine] = set()
-            self._pools[engine] = Pool(engine, address, self._connection, dialer, timers, sockets, now,
-                                       config.connect_timeout_us, config.idle_us)
+            self._pools[engine] = Pool(
+                engine,
+                address,
+                self._connection,
+                dialer,
+                timers,
+                sockets,
+                now,
+                config.connect_timeout_us,
+                config.idle_us,
+            )
         self._watch_us = config.settings.progress_us or SWEEP_US
         timers.after(self._watch_us, self._watch)
         timers.after(SWEEP_US, self._sweep)
@@ -419,8 +489,15 @@
         if pool is None:
             inquiry.ended(Outcome.RESET)
         else:
-            ThreadEnd(self, pool, inquiry.thread, until, lambda: inquiry.ended(Outcome.RESET), lambda: False,
-                      inquiry.sent)
+            ThreadEnd(
+                self,
+                pool,
+                inquiry.thread,
+                until,
+                lambda: inquiry.ended(Outcome.RESET),
+                lambda: False,
+                inquiry.sent,
+            )
 
     def probe(self, engine: EngineId, done: Callable[[Outcome], None]) -> None:
         pool = self._pools.get(engine)
@@ -435,8 +512,9 @@
                 connection.release()
                 good()
 
-            connection.call([bytes([mysql.COM_PING])], mysql.ResultReader(), answered, bad,
-                            self.now() + ANSWER_US)
+            connection.call(
+                [bytes([mysql.COM_PING])], mysql.ResultReader(), answered, bad, self.now() + ANSWER_US
+            )
 
         pool.acquire(send, lambda trouble: bad())
 
@@ -448,8 +526,11 @@
         """MySQL servers send no notes: a ping tells the decisions that the engine is there all the same."""
         for engine, exchanges in self.exchanges.items():
             if exchanges:
-                self._ping(self._pools[engine], lambda engine=engine: self._alive(engine),  # type: ignore[misc]
-                           lambda: None)
+                self._ping(
+                    self._pools[engine],
+                    lambda engine=engine: self._alive(engine),  # type: ignore[misc]
+                    lambda: None,
+                )
         self.timers.after(self._watch_us, self._watch)
 
     def _alive(self, engine: EngineId) -> None:
--- a/slipbay/back/pool.py
+++ b/slipbay/back/pool.py
@@ -108,9 +108,18 @@
 class Pool(Generic[C]):
     """Connections to one engine."""
 
-    def __init__(self, engine: EngineId, address: Address, make: Callable[[Pool[C]], C], dialer: Dialer,
-                 timers: Timers, sockets: Sockets, now: Callable[[], int], connect_us: int,
-                 idle_us: int) -> None:
+    def __init__(
+        self,
+        engine: EngineId,
+        address: Address,
+        make: Callable[[Pool[C]], C],
+        dialer: Dialer,
+        timers: Timers,
+        sockets: Sockets,
+        now: Callable[[], int],
+        connect_us: int,
+        idle_us: int,
+    ) -> None:
         self.engine, self.address = engine, address
         self._make, self._dialer, self._timers = make, dialer, timers
         self._sockets, self._now = sockets, now
@@ -121,8 +130,9 @@
         self._heard_at, self._away_until = now(), 0
         sockets.pools.append(self)  # type: ignore[arg-type]
 
-    def acquire(self, done: Callable[[C], None], failed: Callable[[Trouble], None],
-                fresh: bool = False) -> Wait[C] | None:
+    def acquire(
+        self, done: Callable[[C], None], failed: Callable[[Trouble], None], fresh: bool = False
+    ) -> Wait[C] | None:
         """A connection for one call; ``fresh`` for one that is proven to come up now.
 
         An idle one is handed over within this call, and there is nothing to wait for; all else comes later.
@@ -150,9 +160,20 @@
         self._sockets.used += 1
         stream.usable = lambda: self._usable(wait, stream)
         stream.broken = lambda: self._fail(wait, stream.trouble)
-        wait.dial = self._dialer.dial(self.address, stream, self._connect_us, lambda error: self._fail(
-            wait, {errno.ECONNREFUSED: Trouble.REFUSED, errno.ECONNRESET: Trouble.BROKEN,
-                   errno.EMFILE: Trouble.NO_ROOM, errno.ENFILE: Trouble.NO_ROOM}.get(error, Trouble.SILENT)))
+        wait.dial = self._dialer.dial(
+            self.address,
+            stream,
+            self._connect_us,
+            lambda error: self._fail(
+                wait,
+                {
+                    errno.ECONNREFUSED: Trouble.REFUSED,
+                    errno.ECONNRESET: Trouble.BROKEN,
+                    errno.EMFILE: Trouble.NO_ROOM,
+                    errno.ENFILE: Trouble.NO_ROOM,
+                }.get(error, Trouble.SILENT),
+            ),
+        )
 
     def _usable(self, wait: Wait[C], stream: C) -> None:
         stream.broken = stream.usable = lambda: None
--- a/slipbay/channel/budget.py
+++ b/slipbay/channel/budget.py
@@ -10,7 +10,13 @@
 
 WINDOW_US = 1_050_000  # a second, and what may pass within a turn of the loop until its datagrams have left
 PLACES: Mapping[int, int] = {  # lives speak at starts and ends alone; messages of the decisions can be cut
-    Kind.VIEW: 0, Kind.LIVES: 0, Kind.QUOTA: 1, Kind.COMEBACK: 2, Kind.GATHER: 3, Kind.DECISIONS: 4}
+    Kind.VIEW: 0,
+    Kind.LIVES: 0,
+    Kind.QUOTA: 1,
+    Kind.COMEBACK: 2,
+    Kind.GATHER: 3,
+    Kind.DECISIONS: 4,
+}
 LAST = 5  # the place of all others
 STEP = 0.125  # of the common part, which a kind leaves to each place before its own
 
@@ -49,8 +55,11 @@
         self._forget(now)
         first = next(iter(self._claims), None)
         own, sent = self.parts.get(kind, 0.0), self._sent.get(kind, 0)
-        free = self.rate - sum(max(count, self.parts.get(other, 0.0)) for other, count in self._sent.items()
-                               if other not in (kind, first))
+        free = self.rate - sum(
+            max(count, self.parts.get(other, 0.0))
+            for other, count in self._sent.items()
+            if other not in (kind, first)
+        )
         if first != kind:
             free -= (self.rate - sum(self.parts.values())) * STEP * PLACES.get(kind, LAST)
             if first is not None:
@@ -81,5 +90,6 @@
             _, kind, size = self._log.popleft()
             self._sent[kind] -= size
         if self._claims:
-            self._claims = {kind: claim for kind, claim in self._claims.items()
-                            if claim[1] > self._now - 2 * WINDOW_US}
+            self._claims = {
+                kind: claim for kind, claim in self._claims.items() if claim[1] > self._now - 2 * WINDOW_US
+            }
--- a/slipbay/channel/frame.py
+++ b/slipbay/channel/frame.py
@@ -68,7 +68,7 @@
     _, _, kind, sender, life, padded = HEAD.unpack_from(data)
     if padded > 1 or len(data) < HEAD.size + padded:
         raise Garbled("its padding is cut off")
-    return Frame(kind & ~FLAG, sender, life, data[HEAD.size:len(data) - padded])
+    return Frame(kind & ~FLAG, sender, life, data[HEAD.size : len(data) - padded])
 
 
 def unseal(data: bytes, keys: Sequence[bytes]) -> bytes:
--- a/slipbay/channel/mux.py
+++ b/slipbay/channel/mux.py
@@ -17,8 +17,18 @@
 class Mux:
     """One router's end of the channel."""
 
-    def __init__(self, me: int, size: int, life: int, now: int, *, key: bytes = b"", old_key: bytes = b"",
-                 parts: Mapping[int, float] | None = None, rate: float = RATE) -> None:
+    def __init__(
+        self,
+        me: int,
+        size: int,
+        life: int,
+        now: int,
+        *,
+        key: bytes = b"",
+        old_key: bytes = b"",
+        parts: Mapping[int, float] | None = None,
+        rate: float = RATE,
+    ) -> None:
         """``size``: numbers that the configuration has. ``life``: a number that is new with each start.
         ``parts``: of the rate, what each kind surely gets; a party's is held from when it is added. Kinds
         that have none share what is left."""
@@ -51,8 +61,9 @@
             return []
         self.counts["received"] += 1
         self.counts[f"received {frame.kind}"] += 1
-        return self._frames(now, frame.kind, self.parties[frame.kind].receive(
-            now, sender, frame.life, frame.body))
+        return self._frames(
+            now, frame.kind, self.parties[frame.kind].receive(now, sender, frame.life, frame.body)
+        )
 
     def tick(self, now: int) -> list[Send]:
         """Ticks those that are due; the datagrams to send."""
@@ -88,12 +99,21 @@
         """Counters since the start, by kind, as JSON has them."""
         counts, parts = self.counts, self.budget.parts
         kinds = sorted({*parts, *self.parties, *(int(n.split()[-1]) for n in counts if n[-1].isdigit())})
-        return {"rate": self.budget.rate, "life": self.life, **{
-            name: counts[name] for name in ("bytes", "received", "skipped", "garbled", "foreign")}, "kinds": {
+        return {
+            "rate": self.budget.rate,
+            "life": self.life,
+            **{name: counts[name] for name in ("bytes", "received", "skipped", "garbled", "foreign")},
+            "kinds": {
                 Kind(kind).name.lower() if kind in KNOWN else str(kind): {
-                    "part": parts.get(kind, 0.0) / self.budget.rate, "sent": counts[f"sent {kind}"],
-                    "bytes": counts[f"bytes {kind}"], "over_budget": counts[f"over budget {kind}"],
-                    "received": counts[f"received {kind}"]} for kind in kinds}}
+                    "part": parts.get(kind, 0.0) / self.budget.rate,
+                    "sent": counts[f"sent {kind}"],
+                    "bytes": counts[f"bytes {kind}"],
+                    "over_budget": counts[f"over budget {kind}"],
+                    "received": counts[f"received {kind}"],
+                }
+                for kind in kinds
+            },
+        }
 
     def _leave(self, now: int, kind: int, size: int) -> bool:
         if not self.budget.take(now, kind, size):
--- a/slipbay/channel/outside.py
+++ b/slipbay/channel/outside.py
@@ -13,4 +13,4 @@
         return body
     if room < HEAD.size:
         return b""
-    return body[:HEAD.size + (room - HEAD.size) // ITEM.size * ITEM.size]
+    return body[: HEAD.size + (room - HEAD.size) // ITEM.size * ITEM.size]
--- a/slipbay/channel/pages.py
+++ b/slipbay/channel/pages.py
@@ -37,9 +37,10 @@
 def pages(status: dict[str, object]) -> list[bytes]:
     """A status in datagrams: kind, number of the page, of all pages, text."""
     text = json.dumps(status).encode()
-    parts = [text[at:at + PAGE_BYTES] for at in range(0, len(text), PAGE_BYTES)][:255]
-    return [MAGIC + bytes([VERSION, FLAG | PAGE, number, len(parts)]) + part
-            for number, part in enumerate(parts)]
+    parts = [text[at : at + PAGE_BYTES] for at in range(0, len(text), PAGE_BYTES)][:255]
+    return [
+        MAGIC + bytes([VERSION, FLAG | PAGE, number, len(parts)]) + part for number, part in enumerate(parts)
+    ]
 
 
 def ask(target: Address, asked: bytes, seconds: float = 1.0) -> dict[str, Any]:
--- a/slipbay/channel/settings.py
+++ b/slipbay/channel/settings.py
@@ -32,8 +32,9 @@
         return replace(view, timing=replace(view.timing, rate=rate))
 
 
-def load_channel(config: Config, environment: Mapping[str, str],
-                 view: FleetConfig | None = None) -> ChannelConfig | None:
+def load_channel(
+    config: Config, environment: Mapping[str, str], view: FleetConfig | None = None
+) -> ChannelConfig | None:
     """None if the file is absent or says ``enabled = false``. The keys of ``view`` seal the channel too where
     channel.toml names none: a fleet that keeps strangers out of its view keeps them out of all. Raises
     ``ConfigError``."""
@@ -42,6 +43,7 @@
         return None
     need_msgspec(path.name)
     from slipbay.channel.form import ChannelFile
+
     form = convert(data, ChannelFile, path.name)
     try:
         check_peers(config)
@@ -50,16 +52,21 @@
     parts = {name: getattr(form.parts, name) for name in form.parts.__struct_fields__}
     most = 1 - MOST_BYTES / form.rate
     if sum(parts.values()) > most:
-        raise ConfigError(f"{path.name}: parts: want at most {most:.3f} together, so that the longest "
-                          f"message always finds room; got {sum(parts.values()):g}")
+        raise ConfigError(
+            f"{path.name}: parts: want at most {most:.3f} together, so that the longest "
+            f"message always finds room; got {sum(parts.values()):g}"
+        )
     if form.old_key_file is not None and form.key_file is None:
         raise ConfigError(f"{path.name}: old_key_file: want key_file too")
     if form.key_file is None:
         keys = (view.key, view.old_key) if view is not None else (b"", b"")
         return ChannelConfig(*keys, form.rate, parts, form.status, "fleet.toml" if keys[0] else "")
     key = read_key(path.parent / form.key_file, f"{path.name}: key_file")
-    old = (read_key(path.parent / form.old_key_file, f"{path.name}: old_key_file")
-           if form.old_key_file is not None else b"")
+    old = (
+        read_key(path.parent / form.old_key_file, f"{path.name}: old_key_file")
+        if form.old_key_file is not None
+        else b""
+    )
     return ChannelConfig(key, old, form.rate, parts, form.status, path.name)
 
 
@@ -67,6 +74,8 @@
     """For a part that is on. ``file``: the one that switched it on. Raises ``ConfigError`` where the channel
     is off."""
     if channel is None:
-        raise ConfigError(f"{file}: enabled: this part talks over the channel, which is off; set enabled = "
-                          "true in channel.toml")
+        raise ConfigError(
+            f"{file}: enabled: this part talks over the channel, which is off; set enabled = "
+            "true in channel.toml"
+        )
     return channel
--- a/slipbay/cli.py
+++ b/slipbay/cli.py
@@ -34,6 +34,7 @@
 def serve() -> None:
     """Run a router, as `python -m slipbay` does. GW_CONFIG names its configuration."""
     from slipbay.run import serve_until_end
+
     sys.exit(serve_until_end())
 
 
@@ -42,23 +43,37 @@
 @click.option("--mysql", type=click.Path(path_type=Path), help="In place of SLIPBAY_MYSQL.")
 @click.option("--store", type=click.Path(path_type=Path), help="In place of SLIPBAY_STORE.")
 @click.option("--fleet", type=click.Path(path_type=Path), help="In place of SLIPBAY_FLEET.")
-@click.option("--channel", "channel_file", type=click.Path(path_type=Path),
-              help="In place of SLIPBAY_CHANNEL.")
+@click.option(
+    "--channel", "channel_file", type=click.Path(path_type=Path), help="In place of SLIPBAY_CHANNEL."
+)
 @click.option("--comeback", type=click.Path(path_type=Path), help="In place of SLIPBAY_COMEBACK.")
 @click.option("--quota", "quota_file", type=click.Path(path_type=Path), help="In place of SLIPBAY_QUOTA.")
 @click.option("--gather", type=click.Path(path_type=Path), help="In place of SLIPBAY_GATHER.")
-def check(config: Path | None, mysql: Path | None, store: Path | None, fleet: Path | None,
-          channel_file: Path | None, comeback: Path | None, quota_file: Path | None,
-          gather: Path | None) -> None:
+def check(
+    config: Path | None,
+    mysql: Path | None,
+    store: Path | None,
+    fleet: Path | None,
+    channel_file: Path | None,
+    comeback: Path | None,
+    quota_file: Path | None,
+    gather: Path | None,
+) -> None:
     """Read and check all configuration files; nothing is started or written.
 
     Exit code 0 where a router would start with them, 2 with the file and key at fault.
     """
     environment = dict(os.environ)
-    for name, path in (("GW_CONFIG", config), ("SLIPBAY_MYSQL", mysql), ("SLIPBAY_STORE", store),
-                       ("SLIPBAY_FLEET", fleet), ("SLIPBAY_CHANNEL", channel_file),
-                       ("SLIPBAY_COMEBACK", comeback), ("SLIPBAY_QUOTA", quota_file),
-                       ("SLIPBAY_GATHER", gather)):
+    for name, path in (
+        ("GW_CONFIG", config),
+        ("SLIPBAY_MYSQL", mysql),
+        ("SLIPBAY_STORE", store),
+        ("SLIPBAY_FLEET", fleet),
+        ("SLIPBAY_CHANNEL", channel_file),
+        ("SLIPBAY_COMEBACK", comeback),
+        ("SLIPBAY_QUOTA", quota_file),
+        ("SLIPBAY_GATHER", gather),
+    ):
         if path is not None:
             environment[name] = str(path)
             if name != "GW_CONFIG" and not path.exists():
@@ -74,23 +89,44 @@
             need_channel(link, "quota.toml")
     except ConfigError as problem:
         _fail(f"bad configuration: {problem}")
-    click.echo(f"{environment['GW_CONFIG']}: good; "
-               f"{found.name} listens at {found.listen[0]}:{found.listen[1]}")
-    click.echo("the MySQL front is " + (
-        f"on, at {found.mysql.listen[0]}:{found.mysql.listen[1]}" if found.mysql else "off"))
+    click.echo(
+        f"{environment['GW_CONFIG']}: good; {found.name} listens at {found.listen[0]}:{found.listen[1]}"
+    )
+    click.echo(
+        "the MySQL front is "
+        + (f"on, at {found.mysql.listen[0]}:{found.mysql.listen[1]}" if found.mysql else "off")
+    )
     click.echo("the durable store is " + (f"on, in {found.store.folder}" if found.store else "off"))
-    click.echo("the view of the fleet is " + (
-        f"on, {'signed' if view.key else 'unsigned'}, build {view.build}" if view else "off"))
-    click.echo("the channel between routers is " + (
-        f"on, {link.rate:g} bytes a second, "
-        + (f"signed with the keys of {link.keys_of}" if link.keys_of else "unsigned") if link else "off"))
-    click.echo("coming back by evidence is " + (
-        f"on, {plan.dials:g} connections a second and engine for all newcomers" if plan else "off"))
-    click.echo("quotas over the fleet are " + (
-        f"on, plan {quotas.version} with {len(quotas.quotas)} quotas" if quotas else "off"))
-    click.echo("scattered queries are " + ("on: " + ", ".join(
-        f"{one.service_class} in {len(one.groups)} parts" for one in scattered.scattered)
-        if scattered else "off"))
+    click.echo(
+        "the view of the fleet is "
+        + (f"on, {'signed' if view.key else 'unsigned'}, build {view.build}" if view else "off")
+    )
+    click.echo(
+        "the channel between routers is "
+        + (
+            f"on, {link.rate:g} bytes a second, "
+            + (f"signed with the keys of {link.keys_of}" if link.keys_of else "unsigned")
+            if link
+            else "off"
+        )
+    )
+    click.echo(
+        "coming back by evidence is "
+        + (f"on, {plan.dials:g} connections a second and engine for all newcomers" if plan else "off")
+    )
+    click.echo(
+        "quotas over the fleet are "
+        + (f"on, plan {quotas.version} with {len(quotas.quotas)} quotas" if quotas else "off")
+    )
+    click.echo(
+        "scattered queries are "
+        + (
+            "on: "
+            + ", ".join(f"{one.service_class} in {len(one.groups)} parts" for one in scattered.scattered)
+            if scattered
+            else "off"
+        )
+    )
 
 
 def _fail(text: str, code: int = 2) -> Any:
@@ -135,8 +171,11 @@
 def status(directory: Path) -> None:
     """What a store holds and takes: segments, bytes, keys by what is known of them."""
     found = _survey(directory)
-    sizes = [(segment, (directory / segment.name).stat().st_size) for segment in found.segments
-             if (directory / segment.name).exists()]
+    sizes = [
+        (segment, (directory / segment.name).stat().st_size)
+        for segment in found.segments
+        if (directory / segment.name).exists()
+    ]
     click.echo(f"in use     {'yes' if _in_use(directory) else 'no'}")
     click.echo(f"state      {found.problem or ('torn end' if found.torn_bytes else 'sound')}")
     click.echo(f"segments   {len(found.segments)}, {sum(size for _, size in sizes)} bytes")
@@ -157,11 +196,14 @@
 
 def _show_life(found: Any) -> None:
     from slipbay.ledger import generations
+
     value = found.records.get(generations.LIFE)
     if value is not None:
         life = generations.read(value)
-        click.echo(f"store      {life.store.hex()}, generation {life.generation}"
-                   + (f", in doubt for {life.doubt_us / 1e6:.1f} s more" if life.doubt_us else ""))
+        click.echo(
+            f"store      {life.store.hex()}, generation {life.generation}"
+            + (f", in doubt for {life.doubt_us / 1e6:.1f} s more" if life.doubt_us else "")
+        )
         if life.because:
             click.echo(f"adopted    {life.because}" + ("" if life.generation else "; for the next start"))
 
@@ -180,6 +222,7 @@
     from slipbay.store.disk import Folder
     from slipbay.store.engine import Store
     from slipbay.store.frame import StoreError
+
     try:
         opened = Store.open(Folder(directory))
         try:
@@ -228,8 +271,9 @@
     if found.problem:
         _fail(f"damaged: {found.problem}")
     if found.torn_bytes:
-        click.echo(f"torn end: {found.torn_bytes} bytes behind change {found.sequence}; "
-                   "the next start cuts them off")
+        click.echo(
+            f"torn end: {found.torn_bytes} bytes behind change {found.sequence}; the next start cuts them off"
+        )
         sys.exit(1)
     click.echo(f"sound: {len(found.records)} records, {found.sequence} changes")
 
@@ -242,6 +286,7 @@
     from slipbay.store.disk import Folder
     from slipbay.store.engine import Store
     from slipbay.store.frame import StoreError
+
     if not (directory / "MANIFEST").exists():
         _fail(f"{directory}: there is no store")
     try:
@@ -263,30 +308,54 @@
 def _describe(key: bytes, value: bytes) -> dict[str, Any]:
     """A record for people and JSON; times in µs of the Unix clock."""
     from slipbay.ledger import generations, life, tally
+
     name = key[1:].decode(errors="backslashreplace")
     try:
         if key[:1] == life.REQUEST:
             entry = life.read_entry(key, value)
             intent = entry.intent
             return {
-                "key": name, "state": entry.fate.value if entry.fate else entry.phase.value,
-                "digest": entry.digest.hex(), "at_us": entry.at_us, "told": entry.told,
-                "answer_bytes": entry.answer_bytes, **({} if intent is None else {
-                    "engine": intent.engine.decode(errors="backslashreplace"), "wire": intent.wire,
-                    "attempt": intent.attempt, "birth_us": intent.birth_us, "thread": intent.thread,
-                    "deadline_us": intent.deadline_us})}
+                "key": name,
+                "state": entry.fate.value if entry.fate else entry.phase.value,
+                "digest": entry.digest.hex(),
+                "at_us": entry.at_us,
+                "told": entry.told,
+                "answer_bytes": entry.answer_bytes,
+                **(
+                    {}
+                    if intent is None
+                    else {
+                        "engine": intent.engine.decode(errors="backslashreplace"),
+                        "wire": intent.wire,
+                        "attempt": intent.attempt,
+                        "birth_us": intent.birth_us,
+                        "thread": intent.thread,
+                        "deadline_us": intent.deadline_us,
+                    }
+                ),
+            }
         if key[:1] == life.TALLY:
             memory = tally.read(value, 2**63)
             return {"key": name, "state": "ration", "taken": memory.taken, "extras": memory.extras}
         if key == generations.LIFE:
             told = generations.read(value)
-            return {"key": name, "state": "life", "store": told.store.hex(), "generation": told.generation,
-                    "doubt_us": told.doubt_us, "because": told.because}
+            return {
+                "key": name,
+                "state": "life",
+                "store": told.store.hex(),
+                "generation": told.generation,
+                "doubt_us": told.doubt_us,
+                "because": told.because,
+            }
     except ValueError:
         return {"key": name, "state": "unreadable", "value_base64": base64.b64encode(value).decode()}
     state = {life.ANSWER: "answer", life.SNAPSHOT: "snapshot"}.get(key[:1], "unknown")
-    return {"key": name, "state": state, "bytes": len(value),
-            "value_base64": base64.b64encode(value).decode()}
+    return {
+        "key": name,
+        "state": state,
+        "bytes": len(value),
+        "value_base64": base64.b64encode(value).decode(),
+    }
 
 
 @main.group()
@@ -296,6 +365,7 @@
 
 def _ask(target: str, seconds: float) -> Any:
     from slipbay.fleet.asking import NoAnswer, ask
+
     try:
         return ask(address(target, "ADDRESS"), seconds)
     except (ConfigError, NoAnswer, OSError) as problem:
@@ -304,13 +374,18 @@
 
 def _table(view: dict[str, Any]) -> str:
     zones = ", ".join(f"{name} {count}" for name, count in sorted(view["zones"].items()))
-    numbers = "".join(f"\n{name:<10} {', '.join(map(str, view[name]))}"
-                      for name in ("suspect", "gone", "left", "cut_off") if view[name])
+    numbers = "".join(
+        f"\n{name:<10} {', '.join(map(str, view[name]))}"
+        for name in ("suspect", "gone", "left", "cut_off")
+        if view[name]
+    )
     odd = ", ODD ONE OUT" if view["odd_one_out"] else ""
-    return (f"router     {view['name']} (number {view['number']}), view {view['version']}, "
-            f"health {view['health']}{odd}\n"
-            f"living     {view['living']} of {view['configured']}, by zone: {zones}\n"
-            f"shares of  {view['shares_of']}\nbuilds     {', '.join(map(str, view['builds']))}{numbers}")
+    return (
+        f"router     {view['name']} (number {view['number']}), view {view['version']}, "
+        f"health {view['health']}{odd}\n"
+        f"living     {view['living']} of {view['configured']}, by zone: {zones}\n"
+        f"shares of  {view['shares_of']}\nbuilds     {', '.join(map(str, view['builds']))}{numbers}"
+    )
 
 
 @fleet.command("status")
@@ -368,6 +443,7 @@
 def _ask_part(target: str, topic: int, seconds: float) -> Any:
     """What a part of the channel tells of itself. ``topic``: its kind, or 0 for the channel."""
     from slipbay.channel.pages import NoAnswer, ask, question
+
     try:
         return ask(address(target, "ADDRESS"), question(topic), seconds)
     except (ConfigError, NoAnswer, OSError) as problem:
@@ -387,12 +463,16 @@
     if as_json:
         click.echo(json.dumps(found))
         return
-    click.echo(f"router     {found['name']}, at most {found['rate']:g} bytes a second\n"
-               f"dropped    {found['skipped']} of unknown kinds, {found['garbled']} garbled, "
-               f"{found['foreign']} foreign")
+    click.echo(
+        f"router     {found['name']}, at most {found['rate']:g} bytes a second\n"
+        f"dropped    {found['skipped']} of unknown kinds, {found['garbled']} garbled, "
+        f"{found['foreign']} foreign"
+    )
     for kind, told in found["kinds"].items():
-        click.echo(f"{kind:<10} {told['part']:.0%} surely; sent {told['sent']} ({told['bytes']} bytes), "
-                   f"{told['over_budget']} over budget; received {told['received']}")
+        click.echo(
+            f"{kind:<10} {told['part']:.0%} surely; sent {told['sent']} ({told['bytes']} bytes), "
+            f"{told['over_budget']} over budget; received {told['received']}"
+        )
 
 
 @channel.command("metrics")
@@ -417,12 +497,14 @@
 
 def _listed(found: dict[str, Any], unit: str = "") -> str:
     """Homes, and whose they are or for how long yet."""
-    return ", ".join(f"{home} ({what} {unit})" if unit else f"{home} to {what}"
-                     for home, what in found.items())
+    return ", ".join(
+        f"{home} ({what} {unit})" if unit else f"{home} to {what}" for home, what in found.items()
+    )
 
 
 def _ask_quota(target: str, seconds: float) -> Any:
     from slipbay.channel.seam import Kind
+
     return _ask_part(target, Kind.QUOTA, seconds)
 
 
@@ -440,8 +522,10 @@
     if as_json:
         click.echo(json.dumps(found))
         return
-    click.echo(f"router     {found['name']} (number {found['number']} of {found['configured']}), "
-               f"plan {found['version']}")
+    click.echo(
+        f"router     {found['name']} (number {found['number']} of {found['configured']}), "
+        f"plan {found['version']}"
+    )
     if tenure := found["tenure"]:
         lacked = f"; asked for in vain: {', '.join(map(str, tenure['wanted']))}" if tenure["wanted"] else ""
         click.echo(f"homes      {_listed(tenure['homes'], 's left') or 'none'}{lacked}")
@@ -449,9 +533,11 @@
         click.echo(f"wardens    {', '.join(map(str, tenure['wardens']))}; promised here: {promised}")
     for name, held in found["quotas"].items():
         counts = ", ".join(f"{what} {count}" for what, count in sorted(held["counts"].items())) or "unused"
-        click.echo(f"{name}: {held['rate']:g}/s, burst {held['burst']:g}; asked {held['asked']:g}/s; share "
-                   f"{held['share']:.1%} of home {held['home']:.1%}"
-                   f"{'' if held['awake'] else ', waits'}; {counts}")
+        click.echo(
+            f"{name}: {held['rate']:g}/s, burst {held['burst']:g}; asked {held['asked']:g}/s; share "
+            f"{held['share']:.1%} of home {held['home']:.1%}"
+            f"{'' if held['awake'] else ', waits'}; {counts}"
+        )
         for who, part in held["lent"].items():
             click.echo(f"  lent to {who}: {part:.2%}")
         for who, (part, age) in held["borrowed"].items():
@@ -474,8 +560,12 @@
 
 
 @quota.command("explain")
-@click.option("--file", "path", type=click.Path(exists=True, dir_okay=False, path_type=Path),
-              help="A quota.toml in place of SLIPBAY_QUOTA, switched on or not.")
+@click.option(
+    "--file",
+    "path",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    help="A quota.toml in place of SLIPBAY_QUOTA, switched on or not.",
+)
 @click.option("--routers", type=click.IntRange(1), help="In place of the number that GW_CONFIG names.")
 def quota_explain(path: Path | None, routers: int | None) -> None:
     """What a plan promises: for each quota the most that the fleet admits in any window of t seconds.
@@ -485,6 +575,7 @@
     environment = dict(os.environ)
     try:
         from slipbay.quota.plan import explain
+
         found = load(environment)
         if path is not None:
             environment["SLIPBAY_QUOTA"] = str(path)
@@ -504,6 +595,7 @@
 
 def _ask_comeback(target: str, seconds: float) -> Any:
     from slipbay.channel.seam import Kind
+
     return _ask_part(target, Kind.COMEBACK, seconds)
 
 
@@ -530,12 +622,22 @@
             f"{found['sharers']} live; "
             f"{found['heard']} heard of {found['asked']} asked\n"
             f"held back  {found['held']:.0%} of threads; refused {found['refused']}, "
-            f"waiting {found['waiting']}; " + ("no bound on connections" if found["opens"] is None else
-               f"{found['threads']} of {found['bound']:g} threads, {found['opens']:g} connections a second")
-            + "\nnews       " + ("none" if news is None else
-                                 f"{news['source']}, now {news['age_s']:.1f} s old; used "
-                                 f"{', '.join(news['used']) or 'nothing'}; dropped "
-                                 f"{', '.join(news['dropped']) or 'nothing'}"))
+            f"waiting {found['waiting']}; "
+            + (
+                "no bound on connections"
+                if found["opens"] is None
+                else f"{found['threads']} of {found['bound']:g} threads, "
+                f"{found['opens']:g} connections a second"
+            )
+            + "\nnews       "
+            + (
+                "none"
+                if news is None
+                else f"{news['source']}, now {news['age_s']:.1f} s old; used "
+                f"{', '.join(news['used']) or 'nothing'}; dropped "
+                f"{', '.join(news['dropped']) or 'nothing'}"
+            )
+        )
     sys.exit(0 if found["phase"] == "full" else 3)
 
 
@@ -561,6 +663,7 @@
 
 def _ask_gather(target: str, seconds: float) -> Any:
     from slipbay.channel.seam import Kind
+
     return _ask_part(target, Kind.GATHER, seconds)
 
 
@@ -578,13 +681,17 @@
         click.echo(json.dumps(found))
         return
     words = ", ".join(f"{count} {what}" for what, count in found["words"].items())
-    click.echo(f"router     {found['name']}: {found['open']} open, {found['bytes']} bytes of rows wait; "
-               f"words of part times: {words}")
+    click.echo(
+        f"router     {found['name']}: {found['open']} open, {found['bytes']} bytes of rows wait; "
+        f"words of part times: {words}"
+    )
     for name, counts in found["classes"].items():
         asked = counts["parts_present"] + counts["parts_missing"]
-        click.echo(f"{name}: {counts['whole']} whole, {counts['partial']} partial, "
-                   f"{counts['failed']} failed, {counts['refused']} refused, {counts['left']} called off; "
-                   f"of {asked} parts of those served {counts['parts_missing']} are missing")
+        click.echo(
+            f"{name}: {counts['whole']} whole, {counts['partial']} partial, "
+            f"{counts['failed']} failed, {counts['refused']} refused, {counts['left']} called off; "
+            f"of {asked} parts of those served {counts['parts_missing']} are missing"
+        )
 
 
 @gather.command("metrics")
@@ -619,6 +726,7 @@
     from slipbay.rig.play import play
     from slipbay.rig.report import table
     from slipbay.rig.script import read
+
     try:
         verdict = play(read(script))
     except ConfigError as problem:
@@ -631,8 +739,10 @@
         click.echo(line)
     click.echo(f"most threads on an engine {verdict.most_threads}, further attempts {verdict.extras}")
     if verdict.starved > 0.05:
-        click.echo(f"the machine kept the rig from running for {verdict.starved:.0%} of the time; "
-                   "figures of service mean little")
+        click.echo(
+            f"the machine kept the rig from running for {verdict.starved:.0%} of the time; "
+            "figures of service mean little"
+        )
     for fault in verdict.faults:
         click.echo(f"FAULT  {fault}")
     click.echo("all rules kept" if verdict.good else f"{len(verdict.faults)} faults")
--- a/slipbay/comeback/codec.py
+++ b/slipbay/comeback/codec.py
@@ -21,7 +21,13 @@
 MOST_AGE = 2**16 - 1
 MOST_CLASSES, MOST_ILL = 6, 16
 HEAD, STATE, NEWS, CLASS, ENGINE, GROUP = (
-    Struct("<BH"), Struct("<HB"), Struct("<ffBBB"), Struct("<fff"), Struct("<HH"), Struct("<dH"))
+    Struct("<BH"),
+    Struct("<HB"),
+    Struct("<ffBBB"),
+    Struct("<fff"),
+    Struct("<HH"),
+    Struct("<dH"),
+)
 
 
 class Sort(IntEnum):
@@ -56,8 +62,10 @@
             body += NEWS.pack(news.pace, news.best_pace, min(extras, 255), len(classes), len(ill))
             body += b"".join(CLASS.pack(*c) for c in classes)
             body += b"".join(ENGINE.pack(digest, _steps(age)) for digest, age in ill)
-            body += b"".join(GROUP.pack(group, min(round(count), MOST_AGE)) for group, count
-                             in news.groups[:(MOST_BODY - len(body)) // GROUP.size])
+            body += b"".join(
+                GROUP.pack(group, min(round(count), MOST_AGE))
+                for group, count in news.groups[: (MOST_BODY - len(body)) // GROUP.size]
+            )
     return body
 
 
@@ -65,7 +73,7 @@
     """None for what can't be read: cut off, of a later release, or with a number that is none."""
     try:
         sort, nonce = HEAD.unpack_from(body)
-        rest = body[HEAD.size:]
+        rest = body[HEAD.size :]
         match Sort(sort):
             case Sort.HELLO | Sort.HERE:
                 steps, phase = STATE.unpack(rest)
@@ -74,13 +82,16 @@
                 return Message(Sort.ASK, nonce)
             case Sort.NEWS:
                 pace, best, extras, classes, ill = NEWS.unpack_from(rest)
-                rest = rest[NEWS.size:]
-                told, rest = rest[:classes * CLASS.size], rest[classes * CLASS.size:]
-                sick, rest = rest[:ill * ENGINE.size], rest[ill * ENGINE.size:]
+                rest = rest[NEWS.size :]
+                told, rest = rest[: classes * CLASS.size], rest[classes * CLASS.size :]
+                sick, rest = rest[: ill * ENGINE.size], rest[ill * ENGINE.size :]
                 news = api.Inherited(
-                    pace, best, tuple(CLASS.iter_unpack(told)),
+                    pace,
+                    best,
+                    tuple(CLASS.iter_unpack(told)),
                     tuple((digest, steps * STEP_US) for digest, steps in ENGINE.iter_unpack(sick)),
-                    tuple((group, float(count)) for group, count in GROUP.iter_unpack(rest)))
+                    tuple((group, float(count)) for group, count in GROUP.iter_unpack(rest)),
+                )
     except (ValueError, error):
         return None
     rows = ((news.pace, news.best_pace), *news.classes, *news.groups)
--- a/slipbay/comeback/machine.py
+++ b/slipbay/comeback/machine.py
@@ -77,9 +77,16 @@
 class Comeback:
     """One router's end."""
 
-    def __init__(self, me: int, size: int, seed: int, now: int,
-                 knows: Callable[[int], tuple[api.Inherited, int]], plan: Plan | None = None,
-                 free_extras: float = 0.0) -> None:
+    def __init__(
+        self,
+        me: int,
+        size: int,
+        seed: int,
+        now: int,
+        knows: Callable[[int], tuple[api.Inherited, int]],
+        plan: Plan | None = None,
+        free_extras: float = 0.0,
+    ) -> None:
         """``knows``: what our decisions learned by a time, and their further attempts in the 10 s before."""
         self.me, self.size, self.started, self.plan = me, size, now, plan or Plan()
         self.phase, self._knows, self._free_extras = Phase.BLANK, knows, free_extras
@@ -87,7 +94,7 @@
         others = [n for n in range(size) if n != me]
         start, stride = (seed >> 16) % max(1, len(others)), _stride(len(others), seed >> 32)
         self._order = [others[(start + n * stride) % len(others)] for n in range(len(others))]
-        self.asked = self._order[:self.plan.sample]
+        self.asked = self._order[: self.plan.sample]
         self.heard: dict[int, Heard] = {}
         self.living: Callable[[], int] | None = None  # how many the view has, where it is on
         self._rounds, self._next = 0, now
@@ -199,16 +206,29 @@
         """What is known and held back, for commands. Times in s, ``held`` as part of all threads."""
         dials, news = self.dials(), self.merged
         return {
-            "phase": self.phase.name.lower(), "evidence": self.evidence,
-            "since_s": _seconds(now - self.entered), "life_s": _seconds(now - self.started),
-            "newcomers": self.newcomers, "rivals": self.rivals, "sharers": self.sharers,
-            "asked": len(self.asked), "heard": len(self.heard), "held": round(self.held(now), 3),
-            "opens": None if dials == float("inf") else round(dials, 2), "few": self.allows(now).few,
+            "phase": self.phase.name.lower(),
+            "evidence": self.evidence,
+            "since_s": _seconds(now - self.entered),
+            "life_s": _seconds(now - self.started),
+            "newcomers": self.newcomers,
+            "rivals": self.rivals,
+            "sharers": self.sharers,
+            "asked": len(self.asked),
+            "heard": len(self.heard),
+            "held": round(self.held(now), 3),
+            "opens": None if dials == float("inf") else round(dials, 2),
+            "few": self.allows(now).few,
             "refused": self.refusals,
             "full_after_s": _seconds(self.full_at - self.started) if self.phase is Phase.FULL else None,
-            "news": None if news is None else {
-                "source": self.source(), "age_s": _seconds(self.news_us + now - self.news_at),
-                "used": list(news.used), "dropped": list(news.dropped)}}
+            "news": None
+            if news is None
+            else {
+                "source": self.source(),
+                "age_s": _seconds(self.news_us + now - self.news_at),
+                "used": list(news.used),
+                "dropped": list(news.dropped),
+            },
+        }
 
     # The channel
 
@@ -226,8 +246,9 @@
             case Sort.ASK:
                 if self.phase is Phase.FULL:
                     news, extras = self._knows(now)
-                    return [(sender, codec.encode(
-                        Message(Sort.NEWS, message.nonce, extras=extras, news=news)))]
+                    return [
+                        (sender, codec.encode(Message(Sort.NEWS, message.nonce, extras=extras, news=news)))
+                    ]
             case Sort.NEWS:
                 asked = self._asks.get(sender)
                 if asked is not None and message.nonce == self._nonce and asked.told is None:
@@ -242,8 +263,9 @@
             self._next = now + self.plan.answer_us
             self._rounds += 1
             if self._rounds <= self.plan.asks:
-                sends += [(n, self._state(Sort.HELLO, self._nonce, now)) for n in self.asked
-                          if n not in self.heard]
+                sends += [
+                    (n, self._state(Sort.HELLO, self._nonce, now)) for n in self.asked if n not in self.heard
+                ]
             sends += self._ask(now)
         return sends + self._move(now)
 
@@ -266,10 +288,15 @@
         if self._news_over or self.phase < Phase.HEARING:
             return []
         out = [a for a in self._asks.values() if a.told or now - a.last < self._patience]
-        chosen = [n for n in self._order if n in self.heard and self.heard[n].phase == Phase.FULL
-                  and (n not in self._asks or self._asks[n] not in out)]
+        chosen = [
+            n
+            for n in self._order
+            if n in self.heard
+            and self.heard[n].phase == Phase.FULL
+            and (n not in self._asks or self._asks[n] not in out)
+        ]
         chosen.sort(key=lambda n: n in self._asks)  # those never asked come first
-        chosen = chosen[:max(0, min(self.plan.tellers - len(out), self._asks_left))]
+        chosen = chosen[: max(0, min(self.plan.tellers - len(out), self._asks_left))]
         for n in chosen:
             self._asks.setdefault(n, Asked(now, now)).last = now
         self._asks_left -= len(chosen)
@@ -286,29 +313,31 @@
         if self.phase is Phase.BLANK and (self._rounds or self.heard or self.size == 1):
             self._enter(now, Phase.HEARING, f"{len(self.asked)} of {self.size - 1} others are asked")
         if self.phase is Phase.HEARING and self._heard_out(now):
-            self._enter(now, Phase.RAMPING, f"{len(self.heard)} heard of {len(self.asked)} asked, "
-                        f"{self.newcomers} come back, {self.sharers} live")
+            self._enter(
+                now,
+                Phase.RAMPING,
+                f"{len(self.heard)} heard of {len(self.asked)} asked, "
+                f"{self.newcomers} come back, {self.sharers} live",
+            )
         sends = self._ask(now) if self.phase is Phase.RAMPING else []
         self._gather(now)
-        if (self.phase is Phase.RAMPING and self._news_over
-                and self.held(now) < FEW * self.plan.held_share):
+        if self.phase is Phase.RAMPING and self._news_over and self.held(now) < FEW * self.plan.held_share:
             gone = now - self.started >= self.plan.held_us
             self.full_at = now
-            self._enter(now, Phase.FULL, "what earlier lives left has ended" if gone
-                        else "most others never stopped")
+            self._enter(
+                now, Phase.FULL, "what earlier lives left has ended" if gone else "most others never stopped"
+            )
         return sends
 
     def _heard_out(self, now: int) -> bool:
         """All that were asked have answered, or were asked often enough."""
-        return (all(n in self.heard for n in self.asked)
-                or self._rounds > self.plan.asks)
+        return all(n in self.heard for n in self.asked) or self._rounds > self.plan.asks
 
     def _gather(self, now: int) -> None:
         """Use what came, once all have answered whom we asked, or nobody is left to ask."""
         if self._news_over or self.phase < Phase.RAMPING:
             return
-        waiting = [a for a in self._asks.values()
-                   if a.told is None and now - a.last < self._patience]
+        waiting = [a for a in self._asks.values() if a.told is None and now - a.last < self._patience]
         serving = sum(h.phase == Phase.FULL for h in self.heard.values())
         whole = sum(bool(a.told) for a in self._asks.values())
         wanted = whole < min(serving, self.plan.tellers) and self._asks_left > 0
--- a/slipbay/comeback/merge.py
+++ b/slipbay/comeback/merge.py
@@ -56,14 +56,22 @@
     """``engines``: how many are listed. Fields that nobody told, or all too long ago, are dropped."""
     classes = max((len(t.news.classes) for t in told if t.age_us <= ages.costs), default=0)
     costs = [t.news.classes for t in told if t.age_us <= ages.costs and t.news.classes]
-    merged = tuple((_middle([c[n][0] for c in costs if n < len(c)], 1.0, MOST_WORK_US),
-                    _middle([c[n][1] for c in costs if n < len(c)], 1.0, MOST_WORK_US),
-                    _middle([c[n][2] for c in costs if n < len(c)], 1 / SPAN, SPAN)) for n in range(classes))
+    merged = tuple(
+        (
+            _middle([c[n][0] for c in costs if n < len(c)], 1.0, MOST_WORK_US),
+            _middle([c[n][1] for c in costs if n < len(c)], 1.0, MOST_WORK_US),
+            _middle([c[n][2] for c in costs if n < len(c)], 1 / SPAN, SPAN),
+        )
+        for n in range(classes)
+    )
     paces = [t.news for t in told if t.age_us <= ages.pace]
     pace = _middle([n.pace for n in paces], 1.0, SPAN)
     best = min(_middle([n.best_pace for n in paces], 1.0, SPAN), pace)
-    votes = Counter(digest for t in told for digest in {
-        digest for digest, age in t.news.ill if t.age_us + age <= ages.ill})
+    votes = Counter(
+        digest
+        for t in told
+        for digest in {digest for digest, age in t.news.ill if t.age_us + age <= ages.ill}
+    )
     tellers = sum(t.age_us <= ages.ill for t in told)
     ill = sorted(digest for digest, count in votes.items() if 2 * count > tellers)
     if len(ill) > engines * MOST_ILL / (1 + (tellers == 1)):
@@ -75,15 +83,25 @@
             for group, count in t.news.groups:
                 weights[group] += GROUPS_SUM * max(0.0, count) / total
     sharers = max(1, sum(t.age_us <= ages.groups and bool(t.news.groups) for t in told))
-    groups = tuple((group, weight / sharers) for group, weight in sorted(
-        weights.items(), key=lambda item: (-item[1], item[0])))
+    groups = tuple(
+        (group, weight / sharers)
+        for group, weight in sorted(weights.items(), key=lambda item: (-item[1], item[0]))
+    )
     spent = [t.extras for t in told if t.age_us <= ages.ration]
     extras = min(median_low(spent), int(free_extras / 2)) if spent else 0
-    fields = {"pace": pace > 0, "costs": any(any(c) for c in merged), "ill": tellers > 0,
-              "groups": bool(groups), "ration": bool(spent)}
-    return Merged(api.Inherited(pace, best, merged, tuple((digest, 0) for digest in ill), groups), extras,
-                  tuple(name for name, got in fields.items() if got),
-                  tuple(name for name, got in fields.items() if not got))
+    fields = {
+        "pace": pace > 0,
+        "costs": any(any(c) for c in merged),
+        "ill": tellers > 0,
+        "groups": bool(groups),
+        "ration": bool(spent),
+    }
+    return Merged(
+        api.Inherited(pace, best, merged, tuple((digest, 0) for digest in ill), groups),
+        extras,
+        tuple(name for name, got in fields.items() if got),
+        tuple(name for name, got in fields.items() if not got),
+    )
 
 
 def _middle(values: Sequence[float], least: float, most: float) -> float:
--- a/slipbay/comeback/settings.py
+++ b/slipbay/comeback/settings.py
@@ -17,8 +17,9 @@
 COMEBACK_FILE = DEPLOY / "comeback.toml"
 
 
-def load_comeback(config: Config, environment: Mapping[str, str],
-                  channel: ChannelConfig | None) -> Plan | None:
+def load_comeback(
+    config: Config, environment: Mapping[str, str], channel: ChannelConfig | None
+) -> Plan | None:
     """None if the file is absent or says ``enabled = false``; then nothing is imported for it. A fleet of one
     needs no channel. Raises ``ConfigError``."""
     path = Path(environment.get("SLIPBAY_COMEBACK") or COMEBACK_FILE)
--- a/slipbay/comeback/shape.py
+++ b/slipbay/comeback/shape.py
@@ -37,10 +37,21 @@
     def plan(self) -> Plan:
         ages = self.ages
         return Plan(
-            held_share=self.held_share, dials=self.dials, least_dials=self.least_dials, calls=self.calls,
-            sample=self.sample, tellers=self.tellers, answer_us=int(self.answer_ms * 1000), ages=Ages(
-                pace=_us(ages.pace_s), costs=_us(ages.costs_s), ill=_us(ages.ill_s),
-                groups=_us(ages.homes_s), ration=_us(ages.ration_s)))
+            held_share=self.held_share,
+            dials=self.dials,
+            least_dials=self.least_dials,
+            calls=self.calls,
+            sample=self.sample,
+            tellers=self.tellers,
+            answer_us=int(self.answer_ms * 1000),
+            ages=Ages(
+                pace=_us(ages.pace_s),
+                costs=_us(ages.costs_s),
+                ill=_us(ages.ill_s),
+                groups=_us(ages.homes_s),
+                ration=_us(ages.ration_s),
+            ),
+        )
 
 
 def _us(seconds: float) -> int:
--- a/slipbay/comeback/snapshot.py
+++ b/slipbay/comeback/snapshot.py
@@ -29,7 +29,7 @@
         version, at = HEAD.unpack_from(body)
     except error:
         raise ValueError("it is cut off") from None
-    message = codec.decode(body[HEAD.size:]) if version == VERSION else None
+    message = codec.decode(body[HEAD.size :]) if version == VERSION else None
     if message is None:
         raise ValueError(f"it is of version {version}")
     if at > now_us:
--- a/slipbay/comeback/speaker.py
+++ b/slipbay/comeback/speaker.py
@@ -20,14 +20,29 @@
 class Newcomer:
     """A gate of the core until full service; then it only answers those that come back."""
 
-    def __init__(self, plan: Plan, settings: api.Settings, seed: int, core: Core, timers: Timers,
-                 now: Callable[[], int], knows: Callable[[], tuple[api.Inherited, int]],
-                 waiting: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        plan: Plan,
+        settings: api.Settings,
+        seed: int,
+        core: Core,
+        timers: Timers,
+        now: Callable[[], int],
+        knows: Callable[[], tuple[api.Inherited, int]],
+        waiting: Callable[[], int],
+    ) -> None:
         """``knows``: what the decisions learned; ``waiting``: how many queries they hold."""
         self._settings, self._core = settings, core
         self._timers, self._now, self._knows, self._waiting = timers, now, knows, waiting
-        self.machine = Comeback(settings.gateway, settings.gateways, seed, now(), lambda at: knows(), plan,
-                                settings.extra_free or 0.0)
+        self.machine = Comeback(
+            settings.gateway,
+            settings.gateways,
+            seed,
+            now(),
+            lambda at: knows(),
+            plan,
+            settings.extra_free or 0.0,
+        )
         self.machine.inherited, self.machine.changed = self._inherited, self._changed
         self._held: dict[int, int] = {}  # threads of requests that we let in
         self._threads = 0
@@ -40,9 +55,14 @@
         wait with the decisions."""
         now, machine = self._now(), self.machine
         cores = sum(self._cores.values())
-        return {"number": machine.me, "configured": machine.size, **machine.status(now),
-                "threads": self._threads, "bound": None if machine.phase is Phase.FULL
-                else round(machine.threads(now, cores), 1), "waiting": self._waiting()}
+        return {
+            "number": machine.me,
+            "configured": machine.size,
+            **machine.status(now),
+            "threads": self._threads,
+            "bound": None if machine.phase is Phase.FULL else round(machine.threads(now, cores), 1),
+            "waiting": self._waiting(),
+        }
 
     def start(self) -> None:
         """The channel ticks the machine, but that of a fleet of one, which has none."""
@@ -97,13 +117,17 @@
         self._core.tell(merged.news)
         if merged.extras:
             self._core.tell(api.Remembered((), ((now, float(merged.extras)),)))
-        log("comeback", f"{self.machine.source()}: {', '.join(merged.used) or 'nothing'} used",
-            dropped=", ".join(merged.dropped) or "none")
+        log(
+            "comeback",
+            f"{self.machine.source()}: {', '.join(merged.used) or 'nothing'} used",
+            dropped=", ".join(merged.dropped) or "none",
+        )
 
     # Snapshots
 
     def keep(self, write: Callable[[bytes], None]) -> None:
         """Have ``write`` keep what we know from time to time, once we are in full service."""
+
         def again() -> None:
             if self.machine.phase is Phase.FULL:
                 news, extras = self._knows()
@@ -122,10 +146,15 @@
 
     def _changed(self, phase: Phase, evidence: str) -> None:
         machine = self.machine
-        log("comeback", f"{phase.name.lower()}: {evidence}",
-            after_s=f"{(self._now() - machine.started) / 1e6:.3f}")
+        log(
+            "comeback",
+            f"{phase.name.lower()}: {evidence}",
+            after_s=f"{(self._now() - machine.started) / 1e6:.3f}",
+        )
         if phase is Phase.FULL:
             self._core.gates.remove(self)  # which is left alone meanwhile: what it let in is not counted on
-            log("comeback", "full service after "
-                f"{(machine.full_at - machine.started) / 1e6:.1f} s ({machine.told()})",
-                refused=machine.refusals)
+            log(
+                "comeback",
+                f"full service after {(machine.full_at - machine.started) / 1e6:.1f} s ({machine.told()})",
+                refused=machine.refusals,
+            )
--- a/slipbay/config.py
+++ b/slipbay/config.py
@@ -224,8 +224,9 @@
 
     def names(self, key: str) -> tuple[str, ...]:
         """A list of strings, or of objects that have a name."""
-        values = [item.get("name") if isinstance(item, dict) else item
-                  for item in self.get(key, list, "a list", [])]
+        values = [
+            item.get("name") if isinstance(item, dict) else item for item in self.get(key, list, "a list", [])
+        ]
         if not all(isinstance(value, str) for value in values):
             raise ConfigError(f"{self.name(key)}: want names, or objects with a name")
         return tuple(map(str, values))
@@ -262,9 +263,11 @@
         name=environment.get("GW_NAME") or keys.text("name"),
         listen=address(environment.get("GW_LISTEN") or keys.text("listen"), "listen"),
         seed=_seed(keys),
-        limits=Limits(limits.number("cores", 0, 1.0),
-                      int(limits.number("memory_mb", 1, DEFAULT_MEMORY_MB)),
-                      int(limits.number("sockets", 64, DEFAULT_SOCKETS))),
+        limits=Limits(
+            limits.number("cores", 0, 1.0),
+            int(limits.number("memory_mb", 1, DEFAULT_MEMORY_MB)),
+            int(limits.number("sockets", 64, DEFAULT_SOCKETS)),
+        ),
         journal=address(keys.text("journal"), "journal"),
         known=known.data,
         peer_listen=optional_address(keys, "peer_listen"),
@@ -277,7 +280,8 @@
         kinds=info.names("kinds"),
         connect_timeout_us=int(policy.number("connectTimeoutUs", 1, DEFAULT_CONNECT_TIMEOUT_US)),
         idle_us=int(policy.number("connIdleUs", 1, DEFAULT_IDLE_US)),
-        max_open=min(DEFAULT_MAX_OPEN, int(policy.number("maxOpen", 1, DEFAULT_MAX_OPEN))))
+        max_open=min(DEFAULT_MAX_OPEN, int(policy.number("maxOpen", 1, DEFAULT_MAX_OPEN))),
+    )
 
 
 def load(environment: Mapping[str, str]) -> Config:
@@ -289,8 +293,11 @@
         config = from_json(Path(path).read_bytes(), environment)
     except OSError as problem:
         raise ConfigError(f"GW_CONFIG: {path} cannot be read: {problem.strerror}") from None
-    return replace(config, mysql=load_mysql(config, Path(environment.get("SLIPBAY_MYSQL") or MYSQL_FILE)),
-                   store=load_store(config, Path(environment.get("SLIPBAY_STORE") or STORE_FILE)))
+    return replace(
+        config,
+        mysql=load_mysql(config, Path(environment.get("SLIPBAY_MYSQL") or MYSQL_FILE)),
+        store=load_store(config, Path(environment.get("SLIPBAY_STORE") or STORE_FILE)),
+    )
 
 
 def load_mysql(config: Config, path: Path) -> MysqlConfig | None:
@@ -304,6 +311,7 @@
         return None
     need_msgspec(path.name, "store")
     from slipbay.store.form import StoreFile
+
     form = convert(data, StoreFile, path.name)
     try:
         return _store(config, form, path.parent)
@@ -315,8 +323,11 @@
     """Keys of store.toml that differ and that only the next start heeds."""
     if old is None or new is None:
         return [] if old is new else ["store"]
-    return [f"store.{item.name}" for item in fields(new)
-            if item.name not in CHANGEABLE and getattr(old, item.name) != getattr(new, item.name)]
+    return [
+        f"store.{item.name}"
+        for item in fields(new)
+        if item.name not in CHANGEABLE and getattr(old, item.name) != getattr(new, item.name)
+    ]
 
 
 def operator_file(path: Path, read: Callable[[Keys], Part]) -> Part | None:
@@ -336,42 +347,61 @@
 def _store(config: Config, form: StoreFile, folder: Path) -> StoreConfig:
     commit, keep = form.commit, form.keep
     if form.segment_mb * 4 > form.most_mb:
-        raise ConfigError(f"most_mb: want at least four times segment_mb ({form.segment_mb:g}); got "
-                          f"{form.most_mb:g}")
+        raise ConfigError(
+            f"most_mb: want at least four times segment_mb ({form.segment_mb:g}); got {form.most_mb:g}"
+        )
     if keep.answer_kb > 4096 or keep.answer_kb * 1024 > form.segment_mb * 1024 * 1024 / 2:
         raise ConfigError(f"keep.answer_kb: want at most 4096 and half of segment_mb; got {keep.answer_kb:g}")
     fitting = config.limits.memory_mb * 1024 * 1024 // 2 // KEY_BYTES
     keys_kept = int(keep.most_keys if keep.most_keys is not None else min(100_000, fitting))
     if keys_kept > fitting:
-        raise ConfigError(f"keep.most_keys: {keys_kept} keys would take more than half of limits.memory_mb "
-                          f"({config.limits.memory_mb})")
+        raise ConfigError(
+            f"keep.most_keys: {keys_kept} keys would take more than half of limits.memory_mb "
+            f"({config.limits.memory_mb})"
+        )
     return StoreConfig(
-        folder=folder / form.folder, segment_bytes=int(form.segment_mb * 1024 * 1024),
-        most_bytes=int(form.most_mb * 1024 * 1024), group_records=int(commit.most_records),
-        group_bytes=int(commit.most_kb * 1024), group_wait_us=int(commit.wait_us),
-        retry_us=int(commit.retry_ms * 1000), retention_us=int(keep.retention_h * 3600 * 1_000_000),
-        most_answer_bytes=int(keep.answer_kb * 1024), most_keys=keys_kept,
-        recovery_us=int(form.recovery.most_s * 1_000_000), later_us=int(form.later_ms * 1000),
+        folder=folder / form.folder,
+        segment_bytes=int(form.segment_mb * 1024 * 1024),
+        most_bytes=int(form.most_mb * 1024 * 1024),
+        group_records=int(commit.most_records),
+        group_bytes=int(commit.most_kb * 1024),
+        group_wait_us=int(commit.wait_us),
+        retry_us=int(commit.retry_ms * 1000),
+        retention_us=int(keep.retention_h * 3600 * 1_000_000),
+        most_answer_bytes=int(keep.answer_kb * 1024),
+        most_keys=keys_kept,
+        recovery_us=int(form.recovery.most_s * 1_000_000),
+        later_us=int(form.later_ms * 1000),
         stop_on_failure=form.when_it_cannot_write == "stop",
-        loss=_loss(form, folder) if form.loss.enabled else None)
+        loss=_loss(form, folder) if form.loss.enabled else None,
+    )
 
 
 def _loss(form: StoreFile, folder: Path) -> LossConfig:
     loss, retention_s = form.loss, form.keep.retention_h * 3600
     window_s = retention_s if loss.repeat_window_s is None else loss.repeat_window_s
     if window_s > retention_s:
-        raise ConfigError(f"loss.repeat_window_s: want at most keep.retention_h ({retention_s:g} s), as keys "
-                          f"are not held for longer; got {window_s:g}")
+        raise ConfigError(
+            f"loss.repeat_window_s: want at most keep.retention_h ({retention_s:g} s), as keys "
+            f"are not held for longer; got {window_s:g}"
+        )
     if loss.anywhere and not loss.marked:
-        raise ConfigError("loss.anywhere: want fronts in loss.marked, as nothing else tells a first sending "
-                          "from a repeat of what another router ran")
+        raise ConfigError(
+            "loss.anywhere: want fronts in loss.marked, as nothing else tells a first sending "
+            "from a repeat of what another router ran"
+        )
     marker = folder / loss.marker if loss.marker is not None else None
     if marker is not None and marker.resolve().is_relative_to((folder / form.folder).resolve()):
         raise ConfigError("loss.marker: want a file outside of the store's folder, best on another disk")
     if marker is not None and loss.fleet:
         raise ConfigError("loss.fleet: want it off where loss.marker is set, which tells more")
-    return LossConfig(int(window_s * 1_000_000), tuple(FRONTS[name] for name in loss.marked), loss.anywhere,
-                      marker, loss.fleet)
+    return LossConfig(
+        int(window_s * 1_000_000),
+        tuple(FRONTS[name] for name in loss.marked),
+        loss.anywhere,
+        marker,
+        loss.fleet,
+    )
 
 
 def _mysql(config: Config, keys: Keys, folder: Path) -> MysqlConfig:
@@ -424,21 +454,31 @@
         most_packet_bytes=int(keys.number("max_packet_bytes", 1024, DEFAULT_PACKET_BYTES)),
         idle_us=int(keys.number("idle_s", 1, DEFAULT_MYSQL_IDLE_S) * 1_000_000),
         hint=keys.text("hint", "slipbay"),
-        read_class=choice(classes, "read", config.classes), write_class=write, prepare_class=prepare,
+        read_class=choice(classes, "read", config.classes),
+        write_class=write,
+        prepare_class=prepare,
         rules=tuple(rule(n, item) for n, item in enumerate(classes.get("rules", list, "a list", []))),
         deadlines_us=tuple(
             int(deadlines.number(name, 1, spec.deadline_us / 1000) * 1000)
-            for name, spec in zip(config.classes, config.settings.classes, strict=True)),
+            for name, spec in zip(config.classes, config.settings.classes, strict=True)
+        ),
         estimates=tuple(map(estimate, config.classes)),
-        users={name: User(choice(users.part(name), "tenant", config.tenants),
-                          secret(users.part(name), "password_file")) for name in users.data},
+        users={
+            name: User(
+                choice(users.part(name), "tenant", config.tenants), secret(users.part(name), "password_file")
+            )
+            for name in users.data
+        },
         engines={name.encode(): address(value, engines.name(name)) for name, value in engines.data.items()},
-        engine_user=login.text("user"), engine_password=secret(login, "password_file"),
-        spiffe=spiffe)
+        engine_user=login.text("user"),
+        engine_password=secret(login, "password_file"),
+        spiffe=spiffe,
+    )
 
 
-def _spiffe(keys: Keys, config: Config, choice: Callable[[Keys, str, tuple[str, ...]], int],
-            folder: Path) -> SpiffeConfig:
+def _spiffe(
+    keys: Keys, config: Config, choice: Callable[[Keys, str, tuple[str, ...]], int], folder: Path
+) -> SpiffeConfig:
     domain, tenants = keys.text("trust_domain"), keys.part("tenants")
     for id in tenants.data:
         try:
@@ -447,6 +487,10 @@
             raise ConfigError(f"{tenants.name(id)}: {problem}") from None
         if found != domain:
             raise ConfigError(f"{tenants.name(id)}: want an ID of the trust domain {domain}")
-    return SpiffeConfig(domain, folder / keys.text("certificate"), folder / keys.text("key"),
-                        folder / keys.text("bundle"),
-                        {id: choice(tenants, id, config.tenants) for id in tenants.data})
+    return SpiffeConfig(
+        domain,
+        folder / keys.text("certificate"),
+        folder / keys.text("key"),
+        folder / keys.text("bundle"),
+        {id: choice(tenants, id, config.tenants) for id in tenants.data},
+    )
--- a/slipbay/core/keeper.py
+++ b/slipbay/core/keeper.py
@@ -67,6 +67,7 @@
 
 def open_writer(config: StoreConfig, loop: asyncio.AbstractEventLoop) -> Writer:
     """The store's thread, which answers in the loop; ``start`` opens the store."""
+
     def post(call: Callable[[], None]) -> None:
         loop.call_soon_threadsafe(call)
 
@@ -98,8 +99,9 @@
     note: str = ""  # of the marker
 
 
-def begin_life(store: Store, loss: LossConfig, writer: Writer,
-               word: Word | None) -> tuple[Standing, Identity, str]:
+def begin_life(
+    store: Store, loss: LossConfig, writer: Writer, word: Word | None
+) -> tuple[Standing, Identity, str]:
     """In the store's thread, before anything else: judge the store, and make the new life durable, in it and
     at the marker. ``word``: of the other routers."""
     value, marker, note = store.get(LIFE), None, ""
@@ -117,6 +119,7 @@
     identity = generations.begin(found, standing, loss.window_us, secrets.token_bytes(generations.ID_BYTES))
     store.commit([(LIFE, generations.write(identity))], must=True)
     if marker is not None:
+
         def vouch(store: Store) -> None:
             assert marker is not None
             marker.write(Word(identity.store, identity.generation, store.sequence))
@@ -147,9 +150,18 @@
 class Keeper:
     """The life of requests that must never run twice. ``Core`` asks it where it is switched on."""
 
-    def __init__(self, config: StoreConfig, core: Core, clock: Clock, timers: Timers, writer: Writer,
-                 memory: Callable[[], api.Remembered], stop: Callable[[], None], lives: Lives | None = None,
-                 say: Callable[[list[Send]], None] = lambda sends: None) -> None:
+    def __init__(
+        self,
+        config: StoreConfig,
+        core: Core,
+        clock: Clock,
+        timers: Timers,
+        writer: Writer,
+        memory: Callable[[], api.Remembered],
+        stop: Callable[[], None],
+        lives: Lives | None = None,
+        say: Callable[[list[Send]], None] = lambda sends: None,
+    ) -> None:
         """``lives``: what the other routers remember of the store; ``say`` tells them."""
         self.config, self._core, self._clock, self._timers, self._writer = config, core, clock, timers, writer
         self._stop = stop  # ends the router, where the configuration says so of a store that can't write
@@ -189,8 +201,11 @@
             self._open()
         if self._lives is not None and self._lives.open and not self._noted:
             self._noted = True
-            log("store", f"this life is noted by other routers after "
-                f"{(self._clock.now() - self._started) / 1e6:.1f} s: keyed loads may run")
+            log(
+                "store",
+                f"this life is noted by other routers after "
+                f"{(self._clock.now() - self._started) / 1e6:.1f} s: keyed loads may run",
+            )
 
     def _open(self) -> None:
         """No more is heard of earlier lives: the store is opened."""
@@ -205,8 +220,9 @@
             life = begin_life(store, loss, self._writer, word) if loss is not None else ()
             ledger = Ledger(keeping)
             open = ledger.load(store.items(lambda key: key[:1] == REQUEST))
-            snapshots = {whose: value for whose in self.recalled
-                         if (value := store.get(SNAPSHOT + whose)) is not None}
+            snapshots = {
+                whose: value for whose in self.recalled if (value := store.get(SNAPSHOT + whose)) is not None
+            }
             return Contents(ledger, open, store.get(TALLY), snapshots, *life)
 
         self._writer.start(load, self._opened)
@@ -246,11 +262,17 @@
         if self._lives is not None:
             self._say(self._lives.begin(identity.store, identity.generation))
         self._doubt = Doubt(Rules(loss.window_us, loss.marked, loss.anywhere), identity, now)
-        log("store", f"store {identity.store.hex()[:8]}, generation {identity.generation}: {standing.value}"
-            + (f": {identity.because}" if standing is Standing.ADOPTED else ""))
+        log(
+            "store",
+            f"store {identity.store.hex()[:8]}, generation {identity.generation}: {standing.value}"
+            + (f": {identity.because}" if standing is Standing.ADOPTED else ""),
+        )
         if identity.doubt_us:
-            log("store", f"in doubt for {identity.doubt_us / 1e6:.1f} s: loads under keys that are not held "
-                "and not proved new may have run, and are not run")
+            log(
+                "store",
+                f"in doubt for {identity.doubt_us / 1e6:.1f} s: loads under keys that are not held "
+                "and not proved new may have run, and are not run",
+            )
 
     def _recover(self) -> None:
         """Look into what is open, a few at a time, until all is settled or time is up."""
@@ -292,8 +314,12 @@
             self._timers.after(0, lambda: done(Outcome.RESET, None))
         else:
             request = Request(intent.name, 0, 0, None, NOBODY, inquirer, deadline=intent.deadline_us)
-            inquirer.inquire(Inquiry(request, intent.attempt, intent.engine, intent.at_us, intent.birth_us,
-                                     intent.thread, done), progress.until_us)
+            inquirer.inquire(
+                Inquiry(
+                    request, intent.attempt, intent.engine, intent.at_us, intent.birth_us, intent.thread, done
+                ),
+                progress.until_us,
+            )
 
     def _settle(self, entry: Entry, learned: Learned, answer: bytes) -> None:
         assert self._ledger is not None
@@ -352,21 +378,29 @@
             else:
                 self._hold(request)
             return False
-        if self._doubt is not None and not self.knows(request.key) and not self._doubt.is_new(
-                request.key, request.named, request.resent, self._clock.now()):
-            log("unsafe", "failed: not proved new, so it may have run in an earlier life or elsewhere",
-                request=request.name)
+        if (
+            self._doubt is not None
+            and not self.knows(request.key)
+            and not self._doubt.is_new(request.key, request.named, request.resent, self._clock.now())
+        ):
+            log(
+                "unsafe",
+                "failed: not proved new, so it may have run in an earlier life or elsewhere",
+                request=request.name,
+            )
             self._answer_soon(request, Failed(EARLIER))
             return False
-        if (self._lives is not None and not self._lives.open and request.named
-                and not self.knows(request.key)):
+        if self._lives is not None and not self._lives.open and request.named and not self.knows(request.key):
             log("unsafe", "refused for now: too few routers know of this life", request=request.name)
             self._answer_soon(request, Refused(self._later))
             return False
         if not self.knows(request.key) and (self._recovery is not None or self._writer.health.problem):
-            log("unsafe", "refused for now: " + (
-                self._writer.health.problem or "the fate of earlier requests is being learned"),
-                request=request.name)
+            log(
+                "unsafe",
+                "refused for now: "
+                + (self._writer.health.problem or "the fate of earlier requests is being learned"),
+                request=request.name,
+            )
             self._answer_soon(request, Refused(self._later))
             return False
         return self._ask(self._ledger, request)
@@ -456,8 +490,12 @@
             request.client = NOBODY
         else:
             runner.client = NOBODY
-        if (runner is not None and runner.client is NOBODY and not self._waiters.get(request.key)
-                and (cancelled or not runner.named)):
+        if (
+            runner is not None
+            and runner.client is NOBODY
+            and not self._waiters.get(request.key)
+            and (cancelled or not runner.named)
+        ):
             self._core.give_up(runner)  # the last one who wanted it
             self.answered(runner, Failed("called off"))
 
@@ -469,16 +507,31 @@
         if entry is None or entry.left or self._runners.get(request.key) is not request:
             return  # it was given up: its exchange has been told to stop, or its deadline will tell it
         known = self._engines.get(attempt.engine)
-        changes = self._ledger.intend(entry, Intent(
-            attempt.number, attempt.engine, known.birth_us if known else 0, wire, request.name, thread, now,
-            request.deadline), now)
+        changes = self._ledger.intend(
+            entry,
+            Intent(
+                attempt.number,
+                attempt.engine,
+                known.birth_us if known else 0,
+                wire,
+                request.name,
+                thread,
+                now,
+                request.deadline,
+            ),
+            now,
+        )
 
         def durable(problem: StoreError | None) -> None:
             assert self._ledger is not None
             if problem is not None:
                 self._ledger.unrun(entry, attempt.number)
-                log("unsafe", f"an attempt was kept back: {problem}", request=request.name,
-                    engine=attempt.engine)
+                log(
+                    "unsafe",
+                    f"an attempt was kept back: {problem}",
+                    request=request.name,
+                    engine=attempt.engine,
+                )
                 self._core.keep_back(attempt, self._later)
                 self._failed()
             elif not attempt.over and self._ledger.leaves(entry, attempt.number):
--- a/slipbay/core/router.py
+++ b/slipbay/core/router.py
@@ -205,8 +205,16 @@
 class Inquiry(Attempt):
     """An attempt of an earlier life of this process, whose end is to be learned; no core knows of it."""
 
-    def __init__(self, request: Request, number: int, engine: api.EngineId, sent: int, birth_us: int,
-                 thread: int, done: Callable[[Outcome, object], None]) -> None:
+    def __init__(
+        self,
+        request: Request,
+        number: int,
+        engine: api.EngineId,
+        sent: int,
+        birth_us: int,
+        thread: int,
+        done: Callable[[Outcome, object], None],
+    ) -> None:
         self.request, self.number, self.engine, self.sent = request, number, engine, sent
         self.birth_us, self.thread, self._done = birth_us, thread, done
         self.exchange = self.limit = None
@@ -222,9 +230,16 @@
 
 
 class Core:
-    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, timers: Timers,
-                 decider: api.Decider, settings: api.Settings, max_open: int,
-                 max_bytes: int) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        clock: Clock,
+        timers: Timers,
+        decider: api.Decider,
+        settings: api.Settings,
+        max_open: int,
+        max_bytes: int,
+    ) -> None:
         self._loop, self.clock, self.timers = loop, clock, timers
         self.soon = loop.call_soon  # in the next turn
         self.decider, self.settings = decider, settings
@@ -278,9 +293,20 @@
         self.requests[request.id] = request
         self._bytes += request.size
         request.guard = self.timers.at(request.deadline + GUARD_US, lambda: self._overdue(request))
-        self.tell(api.QueryArrived(
-            request.id, request.service_class, request.expires_in_us, request.cost_us, request.memory_mb,
-            float(request.group), 0, request.tenant, request.is_repeat, request.is_write))
+        self.tell(
+            api.QueryArrived(
+                request.id,
+                request.service_class,
+                request.expires_in_us,
+                request.cost_us,
+                request.memory_mb,
+                float(request.group),
+                0,
+                request.tenant,
+                request.is_repeat,
+                request.is_write,
+            )
+        )
 
     def has_room(self, requests: int, size: int) -> bool:
         """Whether so many more may be open, of ``size`` bytes together."""
@@ -325,8 +351,16 @@
             request.watcher.ended(attempt, outcome)
         if outcome is Outcome.OK:
             self._answer(request, Served(result))
-        self.tell(api.AttemptEnded(request.id, attempt.number, attempt.engine, outcome,
-                                   self.clock.now() - attempt.sent, request.over))
+        self.tell(
+            api.AttemptEnded(
+                request.id,
+                attempt.number,
+                attempt.engine,
+                outcome,
+                self.clock.now() - attempt.sent,
+                request.over,
+            )
+        )
         self._forget(request)
 
     # The turn
@@ -414,8 +448,9 @@
 
     def _probe(self, engine: api.EngineId, now: int) -> None:
         if self.backs:
-            self.backs[0].probe(engine, lambda outcome: self.tell(
-                api.ProbeEnded(engine, outcome, self.clock.now() - now)))
+            self.backs[0].probe(
+                engine, lambda outcome: self.tell(api.ProbeEnded(engine, outcome, self.clock.now() - now))
+            )
 
     # Ends
 
@@ -424,8 +459,12 @@
         if self._turn_due:
             self._turn()  # their own timer may be among this turn's events
         if not request.over:
-            log("overdue", "a request was not decided in time", request=request.name,
-                class_=request.service_class)
+            log(
+                "overdue",
+                "a request was not decided in time",
+                request=request.name,
+                class_=request.service_class,
+            )
             self._answer(request, Failed("the deadline has passed", late=True))
             self.tell(api.QueryGone(request.id))
             for attempt in list(request.out.values()):
--- a/slipbay/emulator/fleet.py
+++ b/slipbay/emulator/fleet.py
@@ -17,9 +17,17 @@
     """Members that are killed, stopped, restarted and cut off. ``skew_us``: clocks are off by up to so
     much."""
 
-    def __init__(self, size: int, seed: int = 1, *, weather: Weather | None = None,
-                 timing: Timing | None = None, zones: int = 1, skew_us: int = 200_000,
-                 key: bytes = b"") -> None:
+    def __init__(
+        self,
+        size: int,
+        seed: int = 1,
+        *,
+        weather: Weather | None = None,
+        timing: Timing | None = None,
+        zones: int = 1,
+        skew_us: int = 200_000,
+        key: bytes = b"",
+    ) -> None:
         self.size, self.seed, self.zones, self.timing, self.key = size, seed, zones, timing, key
         self.random, self.agenda = Random(seed), Agenda(EPOCH)
         self.network = Network(self.agenda, self.random, self._deliver, weather)
@@ -39,8 +47,16 @@
         """A new life of a number, some time within the first probe period."""
         self.lives[me] += 1
         life, now = self.random.randrange(2**16), self.now + self.offsets[me]
-        self.members[me] = Membership(me, self.size, life, self.random.randrange(2**32), now,
-                                      zone=me % self.zones, timing=self.timing, key=self.key)
+        self.members[me] = Membership(
+            me,
+            self.size,
+            life,
+            self.random.randrange(2**32),
+            now,
+            zone=me % self.zones,
+            timing=self.timing,
+            key=self.key,
+        )
         number = self.lives[me]
         self.agenda.at(self.now + self.random.randrange(250_000), lambda: self._tick(me, number))
 
--- a/slipbay/emulator/gather.py
+++ b/slipbay/emulator/gather.py
@@ -61,8 +61,9 @@
     price: float = PRICE
 
     def scattered(self) -> Scattered:
-        return Scattered("report", "part", tuple(range(self.parts)), "{group}", self.curve, self.price,
-                         LATEST_US)
+        return Scattered(
+            "report", "part", tuple(range(self.parts)), "{group}", self.curve, self.price, LATEST_US
+        )
 
 
 class World:
@@ -158,8 +159,13 @@
         part = self._out[place]
         short = max(-DOWN, min(shift, UP))
         more = shift - short  # beyond what a factor has
-        part.curve = curve if not more else [1.0] * more + curve[:-more] if more > 0 else (
-            curve[-more:] + curve[-1:] * -more)
+        part.curve = (
+            curve
+            if not more
+            else [1.0] * more + curve[:-more]
+            if more > 0
+            else (curve[-more:] + curve[-1:] * -more)
+        )
         part.engine = Factor(now)
         part.engine.few = [(short, 1.0)]
 
@@ -238,8 +244,14 @@
 class GatherFleet:
     """Routers of one case. ``make`` may put another learner in."""
 
-    def __init__(self, case: Case, make: Callable[[int], GatherMoments] = GatherMoments, *,
-                 judge: bool = True, told: bool = True) -> None:
+    def __init__(
+        self,
+        case: Case,
+        make: Callable[[int], GatherMoments] = GatherMoments,
+        *,
+        judge: bool = True,
+        told: bool = True,
+    ) -> None:
         self.case, self.world, self.now = case, World(case), 0
         self.scattered, self.table = case.scattered(), worths(case.curve, case.parts)
         self.routers = [make(0) for _ in range(case.routers)]
@@ -249,8 +261,14 @@
         self._due: list[tuple[int, int, Callable[[], None]]] = []
         self._count = count()
         self.weather = Random(case.seed + 2000)
-        self.tellers = [Teller(me, case.routers, ["report"], router.learned, 0)
-                        for me, router in enumerate(self.routers)] if told else []
+        self.tellers = (
+            [
+                Teller(me, case.routers, ["report"], router.learned, 0)
+                for me, router in enumerate(self.routers)
+            ]
+            if told
+            else []
+        )
         self.bytes = 0
         for me, teller in enumerate(self.tellers):
             self.at(teller.next_tick(), partial(self._tick, me))
@@ -290,14 +308,17 @@
         self.at(self.now + int(self.random.expovariate(self.case.rate) * SECOND) + 1, self._come)
         common = world.common()
         engines = [world.engine(group) for group in range(self.case.parts)]
-        times = [int(BASE_US * common * world.factor(group, engine) * world.noise(world.heavy)) + 1
-                 for group, engine in enumerate(engines)]
+        times = [
+            int(BASE_US * common * world.factor(group, engine) * world.noise(world.heavy)) + 1
+            for group, engine in enumerate(engines)
+        ]
         query = Query(self.now, times, engines)
         self.log.append(query)
         names = [world.names[engine] for engine in engines]
         if self.perfect:
-            waited = play_out(self.perfect.begin(self.now, self.scattered, self.now + 10 * SECOND), self.now,
-                              names, times)
+            waited = play_out(
+                self.perfect.begin(self.now, self.scattered, self.now + 10 * SECOND), self.now, names, times
+            )
             query.perfect = self.utility(times, waited)
         _Played(self, self.routers[self.random.randrange(self.case.routers)], query, names)
 
@@ -321,8 +342,9 @@
 class _Played:
     """A query at a router, in the fleet's time."""
 
-    def __init__(self, fleet: GatherFleet, router: GatherMoments, query: Query,
-                 engines: Sequence[str]) -> None:
+    def __init__(
+        self, fleet: GatherFleet, router: GatherMoments, query: Query, engines: Sequence[str]
+    ) -> None:
         self.fleet, self.query, self.over = fleet, query, False
         now = query.at
         self.moment = router.begin(now, fleet.scattered, now + 10 * SECOND)
--- a/slipbay/emulator/network.py
+++ b/slipbay/emulator/network.py
@@ -24,8 +24,13 @@
 class Network:
     """Carries what processes send each other; ``deliver`` gets receiver, sender and data."""
 
-    def __init__(self, agenda: Agenda, random: Random, deliver: Callable[[int, int, bytes], None],
-                 weather: Weather | None = None) -> None:
+    def __init__(
+        self,
+        agenda: Agenda,
+        random: Random,
+        deliver: Callable[[int, int, bytes], None],
+        weather: Weather | None = None,
+    ) -> None:
         self.agenda, self.random, self.deliver = agenda, random, deliver
         self.weather = weather or Weather()
         self.cuts: set[tuple[int, int]] = set()  # from, to
--- a/slipbay/emulator/parties.py
+++ b/slipbay/emulator/parties.py
@@ -29,9 +29,19 @@
 class Routers:
     """Routers that are killed, started anew, stopped, cut off, and whose clocks jump."""
 
-    def __init__(self, size: int, make: Make, seed: int = 1, *, weather: Weather | None = None,
-                 skew_us: int = 200_000, drift_ppm: int = 0, key: bytes = b"",
-                 parts: dict[int, float] | None = None, view: View | None = None) -> None:
+    def __init__(
+        self,
+        size: int,
+        make: Make,
+        seed: int = 1,
+        *,
+        weather: Weather | None = None,
+        skew_us: int = 200_000,
+        drift_ppm: int = 0,
+        key: bytes = b"",
+        parts: dict[int, float] | None = None,
+        view: View | None = None,
+    ) -> None:
         """``drift_ppm``: clocks run faster or slower than true time by up to so many us a second."""
         self.size, self.make, self.key, self.parts, self.view = size, make, key, parts, view
         self.random, self.agenda = Random(seed), Agenda(EPOCH)
@@ -135,8 +145,9 @@
         view, now = self.views[me], self.clock(me)
         if view is not None:
             view.room = mux.room(now, Kind.VIEW)
-            self._send(me, [(to, data) for to, data in call(view, now)
-                            if mux.outside(now, Kind.VIEW, len(data))])
+            self._send(
+                me, [(to, data) for to, data in call(view, now) if mux.outside(now, Kind.VIEW, len(data))]
+            )
 
     def _arm(self, me: int) -> None:
         mux = self.muxes[me]
--- a/slipbay/emulator/quota.py
+++ b/slipbay/emulator/quota.py
@@ -15,8 +15,13 @@
 from slipbay.quota.plan import Plan, key_of
 
 DRAWS = 200
-PARTS: dict[int, float] = {Kind.DECISIONS: 0.08, Kind.VIEW: 0.38, Kind.COMEBACK: 0.1, Kind.QUOTA: 0.1,
-                           Kind.LIVES: 0.083}
+PARTS: dict[int, float] = {
+    Kind.DECISIONS: 0.08,
+    Kind.VIEW: 0.38,
+    Kind.COMEBACK: 0.1,
+    Kind.QUOTA: 0.1,
+    Kind.LIVES: 0.083,
+}
 FILL_US, LEAST = 100_000, 20  # how often others speak, and bytes that are worth it
 
 
@@ -36,8 +41,11 @@
         self.log: list[tuple[int, int, bool]] = []
 
     def admitted(self, since: int = 0, until: int = 2**62, at: set[int] | None = None) -> list[int]:
-        return [when for when, me, taken in self.log
-                if taken and since <= when < until and (at is None or me in at)]
+        return [
+            when
+            for when, me, taken in self.log
+            if taken and since <= when < until and (at is None or me in at)
+        ]
 
     def rates(self, since: int, until: int, least: int) -> dict[int, tuple[float, int]]:
         """Part of what was asked that was taken, and how much was asked, at each router that was asked at
@@ -46,8 +54,9 @@
         for when, me, taken in self.log:
             if since <= when < until:
                 asked.setdefault(me, []).append(taken)
-        return {me: (sum(found) / len(found), len(found))
-                for me, found in asked.items() if len(found) >= least}
+        return {
+            me: (sum(found) / len(found), len(found)) for me, found in asked.items() if len(found) >= least
+        }
 
     def apart(self, since: int, until: int, least: int = 200) -> tuple[float, float]:
         """How far the rates of routers lie apart, and how far they would in the mean if all had the same and
@@ -70,9 +79,18 @@
     time goes. ``news``: bytes a second that a view would say on the same channel, and the decisions all that
     is left; 0: quotas have it to themselves."""
 
-    def __init__(self, size: int, plan: Plan, demands: dict[str, Sequence[float]], seed: int = 1, *,
-                 weather: Weather | None = None, drift_ppm: int = 500, news: int = 0,
-                 make: Callable[[int, int, Plan, Random, int], Machine] = Machine) -> None:
+    def __init__(
+        self,
+        size: int,
+        plan: Plan,
+        demands: dict[str, Sequence[float]],
+        seed: int = 1,
+        *,
+        weather: Weather | None = None,
+        drift_ppm: int = 500,
+        news: int = 0,
+        make: Callable[[int, int, Plan, Random, int], Machine] = Machine,
+    ) -> None:
         self.size, self.demands = size, {name: list(rates) for name, rates in demands.items()}
         self.plans = [plan] * size
         self._make, self.news = make, news
@@ -87,8 +105,14 @@
             self._fill()
 
     def _build(self, seed: int, weather: Weather | None, drift_ppm: int) -> Routers:
-        return Routers(self.size, self._parties, seed, weather=weather, drift_ppm=drift_ppm,
-                       parts=PARTS if self.news else None)
+        return Routers(
+            self.size,
+            self._parties,
+            seed,
+            weather=weather,
+            drift_ppm=drift_ppm,
+            parts=PARTS if self.news else None,
+        )
 
     def _parties(self, me: int, life: int, now: int) -> dict[int, Party]:
         machine = self._make(me, self.size, self.plans[me], Random(life * 256 + me), now)
--- a/slipbay/emulator/restarts.py
+++ b/slipbay/emulator/restarts.py
@@ -53,9 +53,15 @@
 
     def peaks(self, since: int, until: int) -> dict[str, int]:
         span = range(since // TENTH, until // TENTH)
-        return {name: max((counts[n] for n in span), default=0) for name, counts in (
-            ("connects", self.connects), ("sends", self.sends), ("calls", self.calls),
-            ("threads", self.threads))}
+        return {
+            name: max((counts[n] for n in span), default=0)
+            for name, counts in (
+                ("connects", self.connects),
+                ("sends", self.sends),
+                ("calls", self.calls),
+                ("threads", self.threads),
+            )
+        }
 
 
 @dataclass
@@ -73,9 +79,18 @@
     """``plan`` None: today's program. ``perfect``: new lives know what the old ones learned, and all routers
     what runs on every engine at any moment."""
 
-    def __init__(self, routers: int, engines: int, mix: Sequence[Traffic] = MIX, *, seed: int = 1,
-                 plan: Plan | None = None, perfect: bool = False, loss: float = 0.0,
-                 disks: bool = False) -> None:
+    def __init__(
+        self,
+        routers: int,
+        engines: int,
+        mix: Sequence[Traffic] = MIX,
+        *,
+        seed: int = 1,
+        plan: Plan | None = None,
+        perfect: bool = False,
+        loss: float = 0.0,
+        disks: bool = False,
+    ) -> None:
         self.disks = disks
         self.plan, self.perfect, self.seen = plan, perfect, Seen()
         self.life: list[Life | None] = [None] * routers
@@ -95,8 +110,15 @@
         number, seed = self.lives[me] + 1, self.random.randrange(2**60)
         machine = mux = None
         if self.plan is not None:
-            machine = Comeback(me, len(self.routers), seed, self.now, lambda now: self._knows(me, now),
-                               self.plan, self.settings.extra_free or 0.0)
+            machine = Comeback(
+                me,
+                len(self.routers),
+                seed,
+                self.now,
+                lambda now: self._knows(me, now),
+                self.plan,
+                self.settings.extra_free or 0.0,
+            )
             machine.engines = len(self.entries)
             machine.changed = lambda phase, evidence: self._changed(me, phase)
             machine.inherited = lambda merged: self._inherit(me, merged)
@@ -130,8 +152,10 @@
         for me in chosen:
             self.kill(me)
         for me in chosen:
-            self.agenda.at(self.now + after_us + self.traffic.randrange(spread_us + 1),
-                           lambda me=me: self.start(me))  # type: ignore[misc]
+            self.agenda.at(
+                self.now + after_us + self.traffic.randrange(spread_us + 1),
+                lambda me=me: self.start(me),  # type: ignore[misc]
+            )
 
     def renew(self, names: Iterable[bytes]) -> None:
         """Another process behind each: what ran there is lost, it is cold, and all living are told."""
@@ -159,7 +183,8 @@
         assert router is not None
         self.said.setdefault((me, self.asker, self.lives[self.asker]), now)
         return router.knows(now, GROUPS), sum(
-            at > now - self.settings.extra_window_us for at, _ in router.memory().extras)
+            at > now - self.settings.extra_window_us for at, _ in router.memory().extras
+        )
 
     def _inherit(self, me: int, merged: Merged) -> None:
         mine = self.life[me]
@@ -199,8 +224,10 @@
         for to, data in sends:
             self.seen.bytes[me] += len(data)
             if self.random.random() >= self.loss:
-                self.agenda.at(self.now + self.random.randrange(2_000, 25_000),
-                               lambda to=to, data=data: self._take(me, to, data))  # type: ignore[misc]
+                self.agenda.at(
+                    self.now + self.random.randrange(2_000, 25_000),
+                    lambda to=to, data=data: self._take(me, to, data),  # type: ignore[misc]
+                )
 
     def _take(self, sender: int, me: int, data: bytes) -> None:
         mine = self.life[me]
@@ -280,8 +307,12 @@
         living = [me for me, router in enumerate(self.routers) if router is not None]
         kind, work, _ = self.asked[query]
         if living:
-            self._tell(self.random.choice(living), api.QueryArrived(
-                query, kind, self.mix[kind].spec.deadline_us, int(work), group=float(query % 17)))
+            self._tell(
+                self.random.choice(living),
+                api.QueryArrived(
+                    query, kind, self.mix[kind].spec.deadline_us, int(work), group=float(query % 17)
+                ),
+            )
 
     def _end(self, me: int, query: int, attempt: int, outcome: api.Outcome) -> None:
         found, before = self.out.get((me, query, attempt)), sum(self.account.good.values())
--- a/slipbay/emulator/tier.py
+++ b/slipbay/emulator/tier.py
@@ -13,8 +13,9 @@
 from slipbay.emulator.engines import CAPACITY, SECOND, WEIGHTS, Agenda, ColdRule, EngineModel, Run
 
 LOOKUP = api.ServiceClass(500_000, 2_500_000, api.Effect.SAFE, worth=1.0, aim_stretch=1.5)
-REPORT = api.ServiceClass(2_000_000, 20_000_000, api.Effect.SAFE, worth=15.0, late_worth=0.4, aim_stretch=2.5,
-                          threads=2)
+REPORT = api.ServiceClass(
+    2_000_000, 20_000_000, api.Effect.SAFE, worth=15.0, late_worth=0.4, aim_stretch=2.5, threads=2
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -56,18 +57,41 @@
 class Tier:
     """Routers, engines and clients. ``skew``: exponent of the routers' shares of the traffic; 0 is even."""
 
-    def __init__(self, routers: int, engines: int, mix: Sequence[Traffic] = MIX, *, seed: int = 1,
-                 cores: int = 8, zones: int = 1, skew: float = 0.0, rule: ColdRule | None = None,
-                 loss: float = 0.0) -> None:
+    def __init__(
+        self,
+        routers: int,
+        engines: int,
+        mix: Sequence[Traffic] = MIX,
+        *,
+        seed: int = 1,
+        cores: int = 8,
+        zones: int = 1,
+        skew: float = 0.0,
+        rule: ColdRule | None = None,
+        loss: float = 0.0,
+    ) -> None:
         self.agenda, self.random, self.mix, self.rule = Agenda(SECOND), Random(seed), mix, rule or ColdRule()
         self.traffic = self.random  # what clients ask; a random source of its own makes plays comparable
         self.size, self.cores, self.zones, self.loss, self.seed = engines, cores, zones, loss, seed
         self.settings = api.Settings(
-            classes=tuple(t.spec for t in mix), gateways=routers, kind_cores=(float(cores),), tick_us=5_000,
-            max_attempts=4, may_cancel=True, may_tell=True, heeds_priority=True, max_retry_after_us=500_000,
-            drain_grace_us=SECOND, cold_share=self.rule.share, cold_multiple=self.rule.multiple,
-            cold_window_us=self.rule.window_us, ramp_us=self.rule.ramp_us, extra_free=5, extra_share=0.2,
-            extra_window_us=10 * SECOND)
+            classes=tuple(t.spec for t in mix),
+            gateways=routers,
+            kind_cores=(float(cores),),
+            tick_us=5_000,
+            max_attempts=4,
+            may_cancel=True,
+            may_tell=True,
+            heeds_priority=True,
+            max_retry_after_us=500_000,
+            drain_grace_us=SECOND,
+            cold_share=self.rule.share,
+            cold_multiple=self.rule.multiple,
+            cold_window_us=self.rule.window_us,
+            ramp_us=self.rule.ramp_us,
+            extra_free=5,
+            extra_share=0.2,
+            extra_window_us=10 * SECOND,
+        )
         self.account, self.deaf, self.looking = Account(), False, False
         self.entries: dict[bytes, api.EngineEntry] = {}
         self.engines: dict[bytes, EngineModel] = {}
@@ -112,8 +136,10 @@
 
     def start(self, me: int) -> None:
         self.lives[me] += 1
-        self.routers[me] = Controller(replace(self.settings, gateway=me, zone=me % self.zones),
-                                      self.seed * 1_000_003 + me * 1009 + self.lives[me])
+        self.routers[me] = Controller(
+            replace(self.settings, gateway=me, zone=me % self.zones),
+            self.seed * 1_000_003 + me * 1009 + self.lives[me],
+        )
         self._tell(me, api.EngineList(api.ListKind.CACHED, tuple(self.entries.values())))
 
     def kill(self, me: int) -> None:
@@ -122,8 +148,10 @@
         for key, (name, number) in list(self.out.items()):
             if key[0] == me:
                 del self.out[key]
-                self.agenda.at(self.now + 2 * SECOND,
-                               lambda name=name, number=number: self._stop(name, number))  # type: ignore[misc]
+                self.agenda.at(
+                    self.now + 2 * SECOND,
+                    lambda name=name, number=number: self._stop(name, number),  # type: ignore[misc]
+                )
 
     def _stop(self, name: bytes, number: int) -> None:
         self.engines[name].stop(self.now, number)
@@ -160,8 +188,10 @@
             if other != me:
                 self.account.told += 1
                 if not self.deaf and self.random.random() >= self.loss:
-                    self.agenda.at(self.now + self.random.randrange(2_000, 25_000),
-                                   lambda o=other: self._tell(o, api.PeerMessage(me, body)))  # type: ignore[misc]
+                    self.agenda.at(
+                        self.now + self.random.randrange(2_000, 25_000),
+                        lambda o=other: self._tell(o, api.PeerMessage(me, body)),  # type: ignore[misc]
+                    )
 
     # Requests
 
@@ -169,7 +199,7 @@
         """A client asks one of the living routers."""
         living = [me for me, router in enumerate(self.routers) if router is not None]
         traffic = self.mix[kind]
-        spread = sqrt(log(1 + traffic.cv ** 2))
+        spread = sqrt(log(1 + traffic.cv**2))
         work = traffic.work_us * exp(self.traffic.gauss(0, spread) - spread * spread / 2)
         me = self.traffic.choices(living, [self.weights[m] for m in living])[0]
         query = len(self.asked) + 1
@@ -184,8 +214,12 @@
         threads, attempt = self.mix[kind].spec.threads, self.sent[me, query]
         self.sent[me, query] += 1
         self.account.attempts += 1
-        run = Run(threads, WEIGHTS[self.terms.get((me, query), 1)], work / threads,
-                  lambda: self._end(me, query, attempt, api.Outcome.OK))
+        run = Run(
+            threads,
+            WEIGHTS[self.terms.get((me, query), 1)],
+            work / threads,
+            lambda: self._end(me, query, attempt, api.Outcome.OK),
+        )
         self.out[me, query, attempt] = name, self.engines[name].start(self.now, run, self.mix[kind].work_us)
         self._follow(name)
 
@@ -234,8 +268,9 @@
 
     def _look(self) -> None:
         if self.looking:
-            self.account.held += [e.threads for n, e in self.engines.items()
-                                  if self.entries[n].state is api.EngineState.READY]
+            self.account.held += [
+                e.threads for n, e in self.engines.items() if self.entries[n].state is api.EngineState.READY
+            ]
         self.agenda.at(self.now + SECOND // 10, self._look)
 
     def until(self, when: int) -> None:
--- a/slipbay/feed/journal.py
+++ b/slipbay/feed/journal.py
@@ -16,8 +16,11 @@
 from slipbay.stream import Dial, Dialer, Stream
 from slipbay.wire.lines import Lines, LineTooLong
 
-STATES = {"SERVING": api.EngineState.READY, "DRAINING": api.EngineState.DRAINING,
-          "DELETED": api.EngineState.GONE}
+STATES = {
+    "SERVING": api.EngineState.READY,
+    "DRAINING": api.EngineState.DRAINING,
+    "DELETED": api.EngineState.GONE,
+}
 UNREADABLE = (ConfigError, KeyError, TypeError, ValueError, AttributeError, RecursionError)
 MOST_LINE_BYTES = 4 * 1024 * 1024
 SILENCE_US = 2_000_000  # a line comes each second; without one for two the connection is taken for dead
@@ -56,8 +59,10 @@
             hosts.update((host.entry.engine, host) for host in changed)
             self.pos = max(self.pos, pos)
         self.pos = max(self.pos, int(self._known.get("pos", 0)))
-        self._told(api.ListKind.CACHED, [
-            host for host in hosts.values() if host.entry.state is not api.EngineState.GONE])
+        self._told(
+            api.ListKind.CACHED,
+            [host for host in hosts.values() if host.entry.state is not api.EngineState.GONE],
+        )
         if wait_us:
             self._due = self._timers.after(wait_us, self._connect)
         else:
@@ -77,17 +82,22 @@
         born = int(item.get("born_ms") or 0)
         state = STATES[item["health"]]
         gone = state is api.EngineState.GONE
-        return Host(api.EngineEntry(
-            engine=str(item["host"]).encode(), zone=self._zones.get(item.get("site", ""), 0),
-            kind=self._kinds.get(item.get("class", ""), 0), cell=int(item.get("block") or 0), state=state,
-            size=float(item.get("share") or 1.0),
-            ready_at_us=born * 1000 if born > 0 else 0),
-            address(item.get("dial") or ("0.0.0.0:0" if gone else None), "dial"))
+        return Host(
+            api.EngineEntry(
+                engine=str(item["host"]).encode(),
+                zone=self._zones.get(item.get("site", ""), 0),
+                kind=self._kinds.get(item.get("class", ""), 0),
+                cell=int(item.get("block") or 0),
+                state=state,
+                size=float(item.get("share") or 1.0),
+                ready_at_us=born * 1000 if born > 0 else 0,
+            ),
+            address(item.get("dial") or ("0.0.0.0:0" if gone else None), "dial"),
+        )
 
     def _connect(self) -> None:
         self._stream = _Tail(self)
-        self._dial = self._dialer.dial(
-            self._address, self._stream, CONNECT_US, lambda error: self._again())
+        self._dial = self._dialer.dial(self._address, self._stream, CONNECT_US, lambda error: self._again())
         if self._dial is not None:
             self.heard()
 
@@ -159,7 +169,6 @@
         self.pos = pos
         self._told(api.ListKind.FULL if whole else api.ListKind.DELTA, hosts)
 
-
     def _ask_again(self, stream: _Tail, pos: int) -> None:
         """Events were lost on their way, or could not be read: ask for them once."""
         if self._asked_after != self.pos:
--- a/slipbay/feed/peers.py
+++ b/slipbay/feed/peers.py
@@ -43,8 +43,11 @@
         pass  # a peer that is down refuses; messages may be lost anyway
 
     def send(self, body: bytes, to: int | None) -> None:
-        target = self._config.peers_all if to is None else (
-            self._config.peers[to] if to < len(self._config.peers) else None)
+        target = (
+            self._config.peers_all
+            if to is None
+            else (self._config.peers[to] if to < len(self._config.peers) else None)
+        )
         if target is not None:
             self.answer(body, target)
 
--- a/slipbay/fleet/codec.py
+++ b/slipbay/fleet/codec.py
@@ -95,8 +95,11 @@
         low, high = min(low, item.number), max(high, item.number)
         listed += _varint_bytes(item.number) + NUMBER.size * (item.state is State.SUSPECT)
         span, head = (high >> 3) - (low >> 3) + 1, 2 + _varint_bytes(item.incarnation)
-        after = head + (listed if item.state is State.SUSPECT or span > 255
-                        else min(listed, _varint_bytes(low >> 3) + span))
+        after = head + (
+            listed
+            if item.state is State.SUSPECT or span > 255
+            else min(listed, _varint_bytes(low >> 3) + span)
+        )
         if used + after - before > space:
             break
         groups[group] = low, high, listed, after
@@ -134,7 +137,7 @@
             (target,), at = NUMBER.unpack_from(data, at), at + NUMBER.size
         elif kind is Kind.TABLE:
             count, at = data[at], at + 1
-            hashes = tuple(value for (value,) in NUMBER.iter_unpack(data[at:at + NUMBER.size * count]))
+            hashes = tuple(value for (value,) in NUMBER.iter_unpack(data[at : at + NUMBER.size * count]))
             if len(hashes) != count:
                 raise Garbled("hashes are missing")
             at += NUMBER.size * count
@@ -162,8 +165,13 @@
             yield bytes([state]) + _varint(incarnation) + bytes([len(items)]) + listed
         else:
             bits = sum(1 << item.number - 8 * first for item in items)
-            yield (bytes([state | BITMAP]) + _varint(incarnation) + start + bytes([span])
-                   + bits.to_bytes(span, "little"))
+            yield (
+                bytes([state | BITMAP])
+                + _varint(incarnation)
+                + start
+                + bytes([span])
+                + bits.to_bytes(span, "little")
+            )
 
 
 def _news(data: bytes, at: int) -> Iterator[News]:
@@ -176,7 +184,7 @@
             span, at = data[at], at + 1
             if len(data) < at + span:
                 raise Garbled("a bitmap is cut off")
-            bits, number, at = int.from_bytes(data[at:at + span], "little"), 8 * first, at + span
+            bits, number, at = int.from_bytes(data[at : at + span], "little"), 8 * first, at + span
             while bits:
                 if bits & 1:
                     yield News(number, state, incarnation)
--- a/slipbay/fleet/form.py
+++ b/slipbay/fleet/form.py
@@ -19,11 +19,15 @@
     timing: dict[str, Any] = {}
 
 
-IN_MS = {item.name: f"{item.name.removesuffix('_us')}_ms" for item in fields(Timing)
-         if item.name.endswith("_us")}  # the file has times in ms
-TimingTable = defstruct("TimingTable", [
-    (IN_MS.get(item.name, item.name), Annotated[float, Meta(ge=1)] | None, None) for item in fields(Timing)],
-    forbid_unknown_fields=True, frozen=True)
+IN_MS = {
+    item.name: f"{item.name.removesuffix('_us')}_ms" for item in fields(Timing) if item.name.endswith("_us")
+}  # the file has times in ms
+TimingTable = defstruct(
+    "TimingTable",
+    [(IN_MS.get(item.name, item.name), Annotated[float, Meta(ge=1)] | None, None) for item in fields(Timing)],
+    forbid_unknown_fields=True,
+    frozen=True,
+)
 
 
 def timing(table: Struct) -> Timing:
@@ -32,6 +36,7 @@
     for item in fields(Timing):
         value = getattr(table, IN_MS.get(item.name, item.name))
         if value is not None:
-            chosen[item.name] = value if item.name == "patience" else int(
-                value * (1000 if item.name in IN_MS else 1))
+            chosen[item.name] = (
+                value if item.name == "patience" else int(value * (1000 if item.name in IN_MS else 1))
+            )
     return Timing(**chosen)
--- a/slipbay/fleet/members.py
+++ b/slipbay/fleet/members.py
@@ -102,9 +102,21 @@
 class Membership:
     """One router's part in keeping the view."""
 
-    def __init__(self, me: int, size: int, life: int, seed: int, now: int, *, zone: int = 0, build: int = 0,
-                 grace_us: int = 0, timing: Timing | None = None, key: bytes = b"",
-                 old_key: bytes = b"") -> None:
+    def __init__(
+        self,
+        me: int,
+        size: int,
+        life: int,
+        seed: int,
+        now: int,
+        *,
+        zone: int = 0,
+        build: int = 0,
+        grace_us: int = 0,
+        timing: Timing | None = None,
+        key: bytes = b"",
+        old_key: bytes = b"",
+    ) -> None:
         """``size``: numbers that the configuration has. ``life``: a number that is new with each start.
         ``grace_us``: for so long a router that never spoke of the fleet, as one of an earlier release, is not
         accused after it was heard to say something else, or after our start."""
@@ -184,8 +196,11 @@
             self._send(now, sends, message.target, Kind.PING, self._token)
         elif kind is Kind.TABLE:
             self._compare(now, sends, message)
-        if (message.digest != self._digest and kind is not Kind.TABLE
-                and now - self._synced >= self.timing.sync_us * (BUSY if self._fresh else 1)):
+        if (
+            message.digest != self._digest
+            and kind is not Kind.TABLE
+            and now - self._synced >= self.timing.sync_us * (BUSY if self._fresh else 1)
+        ):
             if self._table(now, sends, sender):
                 self._synced = now
             elif now >= self._quiet_until:  # news leave it no room, so that they wait once
@@ -315,8 +330,11 @@
         self._next_probe = max(self._next_probe + timing.probe_us, now)
         target = self._draw()
         if self._suspects:
-            ours = [n for n in sorted(self._suspects) if self.me in self.members[n].accusers
-                    and now - self.members[n].since < 3 * timing.probe_us]
+            ours = [
+                n
+                for n in sorted(self._suspects)
+                if self.me in self.members[n].accusers and now - self.members[n].since < 3 * timing.probe_us
+            ]
             for number in self.random.sample(ours, 1) if len(ours) > timing.helpers else ours:
                 self._send(now, sends, number, Kind.PING)  # it hears of it, and may answer
         if target is not None:
@@ -345,8 +363,12 @@
         for _ in range(2):
             while self._round:
                 number = self._round.pop()
-                if (number in self.members and number not in self._dead and number not in probing
-                        and (number not in self._suspects or number in self._witnessed)):
+                if (
+                    number in self.members
+                    and number not in self._dead
+                    and number not in probing
+                    and (number not in self._suspects or number in self._witnessed)
+                ):
                     return number
             self._round = list(self._alive)
             self.random.shuffle(self._round)
@@ -395,8 +417,9 @@
     def _reach(self, now: int, sends: list[Send]) -> None:
         """Look for one that is not held alive; often while such are heard: a parted fleet has healed."""
         healed = now - self._reached < self.timing.reach_us
-        self._next_reach = now + (self.timing.gossip_us if healed
-                                  else self.timing.reach_us * self.random.randrange(50, 150) // 100)
+        self._next_reach = now + (
+            self.timing.gossip_us if healed else self.timing.reach_us * self.random.randrange(50, 150) // 100
+        )
         if len(self._alive) + 1 < self.size:
             away = [n for n in range(self.size) if n in self._dead or n not in self.members]
             if away:
@@ -421,8 +444,11 @@
                 self._hold(now, item)
         elif (incarnation, state) > (member.incarnation, member.state):
             self._hold(now, item)
-        elif (incarnation == member.incarnation and state is member.state is State.SUSPECT
-                and by not in member.accusers):
+        elif (
+            incarnation == member.incarnation
+            and state is member.state is State.SUSPECT
+            and by not in member.accusers
+        ):
             self._accuse(member, by)
             if len(member.accusers) <= self._wanted + 1:  # an independent witness is news
                 self._fresh[number] = 0
@@ -537,8 +563,11 @@
         if now - self._synced >= self.timing.sync_us and self._table(now, sends, message.sender):
             self._synced = now
         differ = {n for n in range(BUCKETS) if mine[n] != message.hashes[n]}
-        items = [m.news for m in self.members.values() if m.number % BUCKETS in differ
-                 and (m.incarnation or m.state is not State.ALIVE)]  # what is presumed outweighs nothing
+        items = [
+            m.news
+            for m in self.members.values()
+            if m.number % BUCKETS in differ and (m.incarnation or m.state is not State.ALIVE)
+        ]  # what is presumed outweighs nothing
         first = self.random.randrange(len(items) + 1)
         items = items[first:] + items[:first]
         self._refill(now)
@@ -556,8 +585,9 @@
     def _least_told(self, space: float) -> tuple[list[News], int]:
         """Fresh news that fit, and how many bytes they may take: the least told first, neighbours together as
         they take fewer bytes, from our own number on; suspicions last."""
-        order = sorted(self._fresh, key=lambda n: (
-            n in self._suspects, self._fresh[n], (n - self.me) % self.size))
+        order = sorted(
+            self._fresh, key=lambda n: (n in self._suspects, self._fresh[n], (n - self.me) % self.size)
+        )
         return fit((self.members[n].news for n in order if n in self.members), int(space))
 
     def _told(self, claims: list[News]) -> None:
@@ -577,8 +607,18 @@
             if claims and self._send(now, sends, number, Kind.NEWS, claims=claims, more=used):
                 self._told(claims)
 
-    def _send(self, now: int, sends: list[Send], to: int, kind: Kind, token: int = 0, *, target: int = 0,
-              claims: list[News] | None = None, more: int = 0) -> bool:
+    def _send(
+        self,
+        now: int,
+        sends: list[Send],
+        to: int,
+        kind: Kind,
+        token: int = 0,
+        *,
+        target: int = 0,
+        claims: list[News] | None = None,
+        more: int = 0,
+    ) -> bool:
         """Build a message if there is leave to send it. ``more``: bytes that its claims may take. Probes and
         answers tell the receiver what it should outlive; answers carry news as far as there is leave."""
         self._refill(now)
@@ -598,8 +638,22 @@
             news = [*news, *(item for item in fresh if item.number != to)]
             self._told(fresh)
         hashes = self._hashes(token) if kind is Kind.TABLE else ()
-        data = encode(Message(kind, self.me, self.mine.incarnation, self.life, self._digest, token,
-                              self.build, self.zone, target, hashes, tuple(news)), self._key)
+        data = encode(
+            Message(
+                kind,
+                self.me,
+                self.mine.incarnation,
+                self.life,
+                self._digest,
+                token,
+                self.build,
+                self.zone,
+                target,
+                hashes,
+                tuple(news),
+            ),
+            self._key,
+        )
         if kind is Kind.ACK and len(data) > least:  # its news are paid for as such
             self._budgets[1] -= len(data) - least
             self._budgets[0] -= least
--- a/slipbay/fleet/metrics.py
+++ b/slipbay/fleet/metrics.py
@@ -14,8 +14,9 @@
     registry = CollectorRegistry()
 
     def gauge(name: str, about: str, value: float, **labels: str) -> None:
-        found = gauges.get(name) or gauges.setdefault(name, Gauge(
-            f"slipbay_fleet_{name}", about, ["router", *labels], registry=registry))
+        found = gauges.get(name) or gauges.setdefault(
+            name, Gauge(f"slipbay_fleet_{name}", about, ["router", *labels], registry=registry)
+        )
         found.labels(view["name"], *labels.values()).set(value)
 
     gauges: dict[str, Gauge] = {}
@@ -29,8 +30,9 @@
         gauge("routers", "Routers by what is held of them.", len(view[state]), state=state)
     for zone, count in view["zones"].items():
         gauge("zone_living", "Routers held alive, by zone.", count, zone=zone)
-    events = Counter("slipbay_fleet_events", "What befell messages, by kind.", ["router", "kind"],
-                     registry=registry)
+    events = Counter(
+        "slipbay_fleet_events", "What befell messages, by kind.", ["router", "kind"], registry=registry
+    )
     for kind, count in view["counts"].items():
         events.labels(view["name"], kind.replace(" ", "_")).inc(count)
     return generate_latest(registry).decode()
--- a/slipbay/fleet/settings.py
+++ b/slipbay/fleet/settings.py
@@ -36,10 +36,13 @@
         return None
     need_msgspec(path.name)
     from slipbay.fleet.form import FleetFile, TimingTable, timing
+
     form = convert(data, FleetFile, path.name)
     times = timing(convert(form.timing, TimingTable, path.name, "timing"))
-    key, old_key = (read_key(path.parent / file, f"{path.name}: {name}") if file is not None else b""
-                    for name, file in (("key_file", form.key_file), ("old_key_file", form.old_key_file)))
+    key, old_key = (
+        read_key(path.parent / file, f"{path.name}: {name}") if file is not None else b""
+        for name, file in (("key_file", form.key_file), ("old_key_file", form.old_key_file))
+    )
     try:
         check_peers(config)
         if times.answer_us * 2 > times.probe_us * 4:
@@ -56,5 +59,6 @@
     if config.peer_listen is None or not config.settings.may_tell:
         raise ConfigError("enabled: the configuration has no peer_listen, or its settings allow no messages")
     if not config.settings.gateway < len(config.peers):
-        raise ConfigError(f"enabled: peers has {len(config.peers)} addresses, ours is number "
-                          f"{config.settings.gateway}")
+        raise ConfigError(
+            f"enabled: peers has {len(config.peers)} addresses, ours is number {config.settings.gateway}"
+        )
--- a/slipbay/fleet/speaker.py
+++ b/slipbay/fleet/speaker.py
@@ -27,14 +27,30 @@
 class Speaker:
     """Takes the datagrams about the fleet, and tells ``resized`` how many routers share its limits."""
 
-    def __init__(self, config: Config, fleet: FleetConfig, timers: Timers, now: Callable[[], int],
-                 peers: Peers, resized: Callable[[int], None]) -> None:
+    def __init__(
+        self,
+        config: Config,
+        fleet: FleetConfig,
+        timers: Timers,
+        now: Callable[[], int],
+        peers: Peers,
+        resized: Callable[[int], None],
+    ) -> None:
         self._config, self._fleet, self._timers, self._now, self._peers = config, fleet, timers, now, peers
         settings = config.settings
         self.machine = Membership(
-            settings.gateway, len(config.peers), config.seed, config.seed, now(), zone=settings.zone,
-            build=fleet.build, grace_us=2 * TOLD_US * settings.gateways, timing=fleet.timing, key=fleet.key,
-            old_key=fleet.old_key)
+            settings.gateway,
+            len(config.peers),
+            config.seed,
+            config.seed,
+            now(),
+            zone=settings.zone,
+            build=fleet.build,
+            grace_us=2 * TOLD_US * settings.gateways,
+            timing=fleet.timing,
+            key=fleet.key,
+            old_key=fleet.old_key,
+        )
         self.machine.changed.append(self._changed)
         self._shares = Shares(settings.gateways, settings.cold_window_us)
         self._resized, self._told = resized, settings.gateways
@@ -58,8 +74,12 @@
         odd = self.machine.odd_one_out(now)
         if odd != self._odd:
             self._odd = odd
-            log("fleet", "we hear few, or others accuse us: it may be we who are cut off" if odd
-                else "we are heard again")
+            log(
+                "fleet",
+                "we hear few, or others accuse us: it may be we who are cut off"
+                if odd
+                else "we are heard again",
+            )
         self._timer = self._timers.at(self.machine.next_tick(), self._tick)
 
     def _received(self, number: int | None, data: bytes, address: Address) -> bool:
@@ -95,8 +115,12 @@
         self._count(now)
         for number, before, state in changes[:LINES]:
             if state is not State.ALIVE or before is not None:
-                log("fleet", f"router {number} is {state.name.lower() if state is not None else 'unknown'}",
-                    version=self.machine.version, living=len(self.machine.living))
+                log(
+                    "fleet",
+                    f"router {number} is {state.name.lower() if state is not None else 'unknown'}",
+                    version=self.machine.version,
+                    living=len(self.machine.living),
+                )
         if len(changes) > LINES:
             log("fleet", f"and {len(changes) - LINES} more changes", version=self.machine.version)
 
@@ -114,14 +138,31 @@
         zones: dict[str, int] = {}
         for number in machine.living:
             zone = machine.members[number].zone
-            name = (self._config.zones[zone] if 0 <= zone < len(self._config.zones)
-                    else "not told yet" if zone < 0 else str(zone))
+            name = (
+                self._config.zones[zone]
+                if 0 <= zone < len(self._config.zones)
+                else "not told yet"
+                if zone < 0
+                else str(zone)
+            )
             zones[name] = zones.get(name, 0) + 1
-        return {"name": self._config.name, "number": machine.me, "version": machine.version,
-                "life": machine.life, "incarnation": machine.mine.incarnation, "health": machine.health,
-                "odd_one_out": self._odd,
-                "cut_off": machine.cut_off(self._now()), "side": machine.side()[0] / machine.side()[1],
-                "configured": machine.size, "living": len(machine.living),
-                "shares_of": self._told, "zones": zones, "suspect": by_state["suspect"],
-                "gone": by_state["gone"], "left": by_state["left"],
-                "builds": sorted({m.build for m in machine.members.values()}), "counts": dict(machine.counts)}
+        return {
+            "name": self._config.name,
+            "number": machine.me,
+            "version": machine.version,
+            "life": machine.life,
+            "incarnation": machine.mine.incarnation,
+            "health": machine.health,
+            "odd_one_out": self._odd,
+            "cut_off": machine.cut_off(self._now()),
+            "side": machine.side()[0] / machine.side()[1],
+            "configured": machine.size,
+            "living": len(machine.living),
+            "shares_of": self._told,
+            "zones": zones,
+            "suspect": by_state["suspect"],
+            "gone": by_state["gone"],
+            "left": by_state["left"],
+            "builds": sorted({m.build for m in machine.members.values()}),
+            "counts": dict(machine.counts),
+        }
