--- a/slipbay/front/identity.py
+++ b/slipbay/front/identity.py
@@ -16,6 +16,7 @@
         self._stamp = self._files_stamp()
         try:
             import cryptography  # noqa: F401
+
             self._context = self._load()
         except ImportError:
             raise ConfigError("spiffe: want the extra packages of slipbay[spiffe]") from None
--- a/slipbay/front/jsonrpc.py
+++ b/slipbay/front/jsonrpc.py
@@ -157,10 +157,20 @@
         if not self._front.use(params.txn, has_key):
             raise jsonrpc.Problem(id, jsonrpc.INVALID_PARAMS, "txn has been used")
         request = Request(
-            params.txn, service_class, params.limit_us, params.statement, self,
-            self._front.back, params.cost_us, params.memory_mb,
-            sql.table_group(params.statement.decode("utf-8", "replace")), tenant, params.is_repeat,
-            handle=id, size=len(params.statement))
+            params.txn,
+            service_class,
+            params.limit_us,
+            params.statement,
+            self,
+            self._front.back,
+            params.cost_us,
+            params.memory_mb,
+            sql.table_group(params.statement.decode("utf-8", "replace")),
+            tenant,
+            params.is_repeat,
+            handle=id,
+            size=len(params.statement),
+        )
         if has_key:
             request.key, request.named, request.resent = key_of(params.txn), True, params.is_repeat
             request.digest = digest(call.method.encode(), (params.team or "").encode(), params.statement)
@@ -175,8 +185,11 @@
         match answer:
             case Served(result, parts):
                 assert isinstance(result, bytes)
-                self.write(jsonrpc.result(id, result) if parts is None else
-                           jsonrpc.gathered(id, result, parts.asked, parts.present, parts.missing))
+                self.write(
+                    jsonrpc.result(id, result)
+                    if parts is None
+                    else jsonrpc.gathered(id, result, parts.asked, parts.present, parts.missing)
+                )
             case Refused(retry_after_us, _):
                 self.write(jsonrpc.error(id, jsonrpc.REFUSED, "refused for now", retry_after_us // 1000))
             case Failed(reason, misuse=True):
--- a/slipbay/front/mysql.py
+++ b/slipbay/front/mysql.py
@@ -29,16 +29,61 @@
 MOST_LOGIN_BYTES = 16 * 1024
 MOST_KEY_BYTES = 200  # of a key that a client gives a statement
 UTF8_CHARSETS = frozenset((33, 45, 46, 76, 83, 192, *range(193, 216), *range(223, 248), *range(255, 324)))
-SESSION_VERBS = frozenset((
-    "begin", "start", "commit", "rollback", "savepoint", "release", "lock", "unlock", "use", "xa", "prepare",
-    "execute", "deallocate", "handler", "set", "reset", "kill", "shutdown", "change", "purge", "flush",
-    "load", "call", "do", "declare"))
-SESSION_WORDS = frozenset((
-    "temporary", "get_lock", "release_lock", "release_all_locks", "is_free_lock", "is_used_lock",
-    "last_insert_id", "found_rows", "row_count", "connection_id", "sql_calc_found_rows"))
-HARMLESS_SETS = frozenset((
-    "set names utf8", "set names utf8mb3", "set names utf8mb4", "set autocommit=1", "set autocommit = 1",
-    "set autocommit=on", "set autocommit = on"))
+SESSION_VERBS = frozenset(
+    (
+        "begin",
+        "start",
+        "commit",
+        "rollback",
+        "savepoint",
+        "release",
+        "lock",
+        "unlock",
+        "use",
+        "xa",
+        "prepare",
+        "execute",
+        "deallocate",
+        "handler",
+        "set",
+        "reset",
+        "kill",
+        "shutdown",
+        "change",
+        "purge",
+        "flush",
+        "load",
+        "call",
+        "do",
+        "declare",
+    )
+)
+SESSION_WORDS = frozenset(
+    (
+        "temporary",
+        "get_lock",
+        "release_lock",
+        "release_all_locks",
+        "is_free_lock",
+        "is_used_lock",
+        "last_insert_id",
+        "found_rows",
+        "row_count",
+        "connection_id",
+        "sql_calc_found_rows",
+    )
+)
+HARMLESS_SETS = frozenset(
+    (
+        "set names utf8",
+        "set names utf8mb3",
+        "set names utf8mb4",
+        "set autocommit=1",
+        "set autocommit = 1",
+        "set autocommit=on",
+        "set autocommit = on",
+    )
+)
 
 
 @dataclass(slots=True, eq=False)
@@ -63,8 +108,9 @@
         self._connections = self._connections % 0xFFFFFFFF + 1
         return self._connections
 
-    def request(self, work: mysql.Work, outline: sql.Outline, tenant: int,
-                client: MysqlConnection) -> Request:
+    def request(
+        self, work: mysql.Work, outline: sql.Outline, tenant: int, client: MysqlConnection
+    ) -> Request:
         """A request with its class, deadline and estimates as the file and the statement's hints say."""
         settings, text = self.mysql, work.sql.decode("utf-8", "replace")
         told = sql.hints(text, settings.hint)
@@ -74,10 +120,19 @@
             deadline = min(deadline, int(_figure(told, "deadline_ms", deadline / 1000) * 1000))
         cost = _figure(told, "cpu_ms", -1.0)
         request = Request(
-            secrets.token_hex(8), number, deadline, work, client, self.back,
+            secrets.token_hex(8),
+            number,
+            deadline,
+            work,
+            client,
+            self.back,
             int(cost * 1000) if cost >= 0 else estimate.cost_us,
-            _figure(told, "ram_mb", estimate.memory_mb), sql.table_group(text), tenant,
-            is_write=not (work.prepare or outline.only_reads), size=work.size)
+            _figure(told, "ram_mb", estimate.memory_mb),
+            sql.table_group(text),
+            tenant,
+            is_write=not (work.prepare or outline.only_reads),
+            size=work.size,
+        )
         if not work.prepare and self.core.guardian is not None and self.core.guardian.keeps(number):
             self._hold(request, work, told)
         return request
@@ -94,8 +149,16 @@
         request.named = named is not None
         request.key = f"mysql:{tenant}:{request.name if named is None else named}".encode()
         run = work.run
-        parameters = [] if run is None else [
-            run.nulls, run.types, run.values, *(b"%d:" % n + run.long_data[n] for n in sorted(run.long_data))]
+        parameters = (
+            []
+            if run is None
+            else [
+                run.nulls,
+                run.types,
+                run.values,
+                *(b"%d:" % n + run.long_data[n] for n in sorted(run.long_data)),
+            ]
+        )
         request.digest = digest(statement, *parameters)
 
     def _class_of(self, text: str, outline: sql.Outline, told: dict[str, str]) -> int:
@@ -142,15 +205,24 @@
     @property
     def unparsed(self) -> int:
         return self._packets.held + sum(
-            len(data) for statement in self._statements.values() for data in statement.long_data.values())
+            len(data) for statement in self._statements.values() for data in statement.long_data.values()
+        )
 
     # Bytes
 
     def opened(self) -> None:
         super().opened()
         capabilities = mysql.CAPABILITIES | (mysql.SSL if self._front.identity else 0)
-        self._send([mysql.greeting(mysql.Greeting(
-            self._front.next_number(), self._challenge, mysql.CACHING_SHA2, capabilities))], 0)
+        self._send(
+            [
+                mysql.greeting(
+                    mysql.Greeting(
+                        self._front.next_number(), self._challenge, mysql.CACHING_SHA2, capabilities
+                    )
+                )
+            ],
+            0,
+        )
 
     def received(self, data: bytes) -> None:
         self.touch()
@@ -159,8 +231,9 @@
         except mysql.PacketTooLarge:
             self._last_word(0, mysql.ER_PACKET_TOO_LARGE, "Got a packet bigger than max_packet_bytes")
         except mysql.MalformedPacket as problem:
-            self._last_word(0, mysql.ER_HANDSHAKE if self._told is None else mysql.ER_MALFORMED_PACKET,
-                            str(problem))
+            self._last_word(
+                0, mysql.ER_HANDSHAKE if self._told is None else mysql.ER_MALFORMED_PACKET, str(problem)
+            )
         except ssl.SSLError as problem:
             log("client", f"TLS: {problem.reason or problem}")
             self.abort()
@@ -296,8 +369,9 @@
                 self._error(sequence, mysql.ER_UNKNOWN_COM, "Unknown command")
 
     def _unsupported(self, sequence: int, what: str) -> None:
-        self._error(sequence, mysql.ER_NOT_SUPPORTED,
-                    f"This server keeps no sessions: {what} is not supported")
+        self._error(
+            sequence, mysql.ER_NOT_SUPPORTED, f"This server keeps no sessions: {what} is not supported"
+        )
 
     def _statement_allowed(self, sequence: int, text: str, outline: sql.Outline) -> bool:
         words = sorted(outline.words & SESSION_WORDS)
@@ -393,11 +467,17 @@
             case Served(list() as payloads):
                 self._send(payloads, sequence + 1)
             case Refused(retry_after_us, late=True):
-                self._error(sequence, mysql.ER_QUERY_TIMEOUT,
-                            f"The deadline has passed; no harm done, retry after {retry_after_us // 1000} ms")
+                self._error(
+                    sequence,
+                    mysql.ER_QUERY_TIMEOUT,
+                    f"The deadline has passed; no harm done, retry after {retry_after_us // 1000} ms",
+                )
             case Refused(retry_after_us):
-                self._error(sequence, mysql.ER_REFUSED,
-                            f"Refused for now; nothing ran, retry after {retry_after_us // 1000} ms")
+                self._error(
+                    sequence,
+                    mysql.ER_REFUSED,
+                    f"Refused for now; nothing ran, retry after {retry_after_us // 1000} ms",
+                )
             case Failed(_, late=True):
                 self._error(sequence, mysql.ER_QUERY_TIMEOUT, "The deadline has passed")
             case Failed(reason, misuse=True):
--- a/slipbay/front/server.py
+++ b/slipbay/front/server.py
@@ -148,8 +148,11 @@
     def let_go(self) -> None:
         """Make room for others, if any client can be let go: none that has sent what we have not read."""
         now, room = self.now(), 0
-        idle = sorted((connection.loss(now), connection.touched, id(connection), connection)
-                      for connection in self.connections if not (connection.busy or connection.closing))
+        idle = sorted(
+            (connection.loss(now), connection.touched, id(connection), connection)
+            for connection in self.connections
+            if not (connection.busy or connection.closing)
+        )
         for loss, _, _, connection in idle:
             if connection.unread():
                 continue
@@ -189,8 +192,11 @@
             if total <= self._limits.connection_bytes:
                 break
             total -= size
-            log("client", f"a connection is cut off with {connection.unsent} bytes unsent and "
-                          f"{connection.unparsed} of a request that has not come whole")
+            log(
+                "client",
+                f"a connection is cut off with {connection.unsent} bytes unsent and "
+                f"{connection.unparsed} of a request that has not come whole",
+            )
             connection.abort()
 
 
--- a/slipbay/gather/form.py
+++ b/slipbay/gather/form.py
@@ -47,37 +47,67 @@
     def plan(self, config: Config) -> GatherPlan:
         """Raises ``ConfigError``."""
         most_bytes = int(self.most_mb * 1024 * 1024)
-        _check(most_bytes <= config.limits.request_bytes, "most_mb",
-               f"at most a quarter of limits.memory_mb ({config.limits.memory_mb})")
+        _check(
+            most_bytes <= config.limits.request_bytes,
+            "most_mb",
+            f"at most a quarter of limits.memory_mb ({config.limits.memory_mb})",
+        )
         _check(bool(self.scatter), "scatter", "at least one class")
         taken: set[str] = set()
         for number, item in enumerate(self.scatter):
             _check(item.service_class not in taken, f"scatter[{number}].class", "each class once")
             taken.add(item.service_class)
-        return GatherPlan(tuple(_scattered(config, item, f"scatter[{number}]")
-                                for number, item in enumerate(self.scatter)), self.most_open, most_bytes)
+        return GatherPlan(
+            tuple(_scattered(config, item, f"scatter[{number}]") for number, item in enumerate(self.scatter)),
+            self.most_open,
+            most_bytes,
+        )
 
 
 def _scattered(config: Config, item: ScatterForm, path: str) -> Scattered:
     effects = {name: spec.effect for name, spec in zip(config.classes, config.settings.classes, strict=True)}
     for key, name in (("class", item.service_class), ("parts", item.parts)):
         _check(name in effects, f"{path}.{key}", f"one of {', '.join(effects)}; got {name!r}")
-    _check(effects[item.service_class] is not Effect.UNSAFE, f"{path}.class",
-           f"a class that is not of those never run twice; {item.service_class!r} is")
-    _check(effects[item.parts] is Effect.SAFE, f"{path}.parts",
-           f"a class that is safe to repeat; {item.parts!r} is not")
+    _check(
+        effects[item.service_class] is not Effect.UNSAFE,
+        f"{path}.class",
+        f"a class that is not of those never run twice; {item.service_class!r} is",
+    )
+    _check(
+        effects[item.parts] is Effect.SAFE,
+        f"{path}.parts",
+        f"a class that is safe to repeat; {item.parts!r} is not",
+    )
     _check(len(set(item.groups)) == len(item.groups), f"{path}.groups", "each group once")
-    _check(len(item.groups) <= config.max_open, f"{path}.groups",
-           f"at most as many as requests may be open ({config.max_open})")
-    _check(not item.mark.isalnum(), f"{path}.mark",
-           f"a mark with a sign in it, as {{group}}; got {item.mark!r}")
+    _check(
+        len(item.groups) <= config.max_open,
+        f"{path}.groups",
+        f"at most as many as requests may be open ({config.max_open})",
+    )
+    _check(
+        not item.mark.isalnum(), f"{path}.mark", f"a mark with a sign in it, as {{group}}; got {item.mark!r}"
+    )
     curve = item.curve
-    _check(bool(curve) and curve[0][0] > 0 and curve[-1] == (1.0, 1.0), f"{path}.curve",
-           "pairs of share and worth, the first share above 0, the last pair [1, 1]")
-    _check(all(a[0] < b[0] and a[1] <= b[1] for a, b in pairwise(curve)), f"{path}.curve",
-           "shares and worths that rise")
-    return Scattered(item.service_class, item.parts, item.groups, item.mark, curve, item.price_per_s,
-                     int(item.latest_ms * 1000), item.cost == "one")
+    _check(
+        bool(curve) and curve[0][0] > 0 and curve[-1] == (1.0, 1.0),
+        f"{path}.curve",
+        "pairs of share and worth, the first share above 0, the last pair [1, 1]",
+    )
+    _check(
+        all(a[0] < b[0] and a[1] <= b[1] for a, b in pairwise(curve)),
+        f"{path}.curve",
+        "shares and worths that rise",
+    )
+    return Scattered(
+        item.service_class,
+        item.parts,
+        item.groups,
+        item.mark,
+        curve,
+        item.price_per_s,
+        int(item.latest_ms * 1000),
+        item.cost == "one",
+    )
 
 
 def _check(good: bool, key: str, wanted: str) -> None:
--- a/slipbay/gather/learned.py
+++ b/slipbay/gather/learned.py
@@ -90,9 +90,16 @@
 
     def stale(self, now: int) -> bool:
         """Whether the curve is to be made anew."""
-        return not self.curve or self.seen > 0 and (
-            self.total > 2 * self.known or now - self.at > STALE_US
-            or self.seen >= MANY and now - self.at > STALE_US // 4)
+        return (
+            not self.curve
+            or self.seen > 0
+            and (
+                self.total > 2 * self.known
+                or now - self.at > STALE_US
+                or self.seen >= MANY
+                and now - self.at > STALE_US // 4
+            )
+        )
 
     def make(self, now: int, hazards: list[float]) -> None:
         self.hazards, self.curve, self.at, self.seen = hazards, survival(hazards), now, 0
@@ -106,17 +113,20 @@
 
 def _moved(weights: list[float], by: int) -> list[float]:
     if by >= 0:
-        return [0.0] * by + weights[:BUCKETS - by - 1] + [sum(weights[BUCKETS - by - 1:])]
-    return [sum(weights[:1 - by])] + weights[1 - by:] + [0.0] * -by
+        return [0.0] * by + weights[: BUCKETS - by - 1] + [sum(weights[BUCKETS - by - 1 :])]
+    return [sum(weights[: 1 - by])] + weights[1 - by :] + [0.0] * -by
 
 
-def product_limit(came: Sequence[float], gone: Sequence[float], above: Sequence[float],
-                  weight: float) -> list[float]:
+def product_limit(
+    came: Sequence[float], gone: Sequence[float], above: Sequence[float], weight: float
+) -> list[float]:
     """Hazard of each bucket: those that came in it, of all that were waited for. ``above`` counts as so many
     observations in each. Those given up within a bucket were at risk for half of it."""
     risk = list(accumulate(map(add, reversed(came), reversed(gone)), initial=weight))
-    return [(came_here + weight * hazard) / (here - 0.5 * gone_here)
-            for came_here, gone_here, hazard, here in zip(came, gone, above, reversed(risk[1:]), strict=True)]
+    return [
+        (came_here + weight * hazard) / (here - 0.5 * gone_here)
+        for came_here, gone_here, hazard, here in zip(came, gone, above, reversed(risk[1:]), strict=True)
+    ]
 
 
 def survival(hazards: Sequence[float]) -> list[float]:
@@ -132,8 +142,10 @@
     start, end = PAD + at + DOWN, PAD + at - UP - 1
     if not whole:
         return [chance if chance < NO_NEWS else NO_NEWS for chance in curve[start:end:-STEP]]
-    return [FLOOR + before - after for before, after in zip(
-        curve[start:end:-STEP], curve[start + 1:end + 1:-STEP], strict=True)]
+    return [
+        FLOOR + before - after
+        for before, after in zip(curve[start:end:-STEP], curve[start + 1 : end + 1 : -STEP], strict=True)
+    ]
 
 
 class Factor:
@@ -167,14 +179,17 @@
         self.at = now
         weights = list(map(mul, self.weights, chances))
         scale = (1.0 - change) / sum(weights)
-        self.weights = [weight * scale + change * prior for weight, prior in zip(
-            weights, self.prior, strict=True)]
+        self.weights = [
+            weight * scale + change * prior for weight, prior in zip(weights, self.prior, strict=True)
+        ]
         self._chosen()
 
     def told(self, shift: int, trust: float) -> None:
         """Another router's word, trusted for less than 1."""
-        self.weights = [weight * (1 - trust) + trust * (one == shift)
-                        for one, weight in zip(SHIFTS, self.weights, strict=True)]
+        self.weights = [
+            weight * (1 - trust) + trust * (one == shift)
+            for one, weight in zip(SHIFTS, self.weights, strict=True)
+        ]
         self._chosen()
 
     def forget(self) -> None:
@@ -188,8 +203,15 @@
     def likely(self) -> list[tuple[int, float]]:
         """Factors that are not out of the question, with their chances."""
         if not self.few:
-            self.few = [(self.shift, 1.0)] if max(self.weights) > 0.95 else [
-                (shift, weight) for shift, weight in zip(SHIFTS, self.weights, strict=True) if weight > 0.05]
+            self.few = (
+                [(self.shift, 1.0)]
+                if max(self.weights) > 0.95
+                else [
+                    (shift, weight)
+                    for shift, weight in zip(SHIFTS, self.weights, strict=True)
+                    if weight > 0.05
+                ]
+            )
         return self.few
 
     def move(self, steps: int) -> None:
@@ -284,8 +306,10 @@
         total = sum(part * sketch.total for part, sketch in zip(parts, told, strict=True))
         less = min(1.0, most * TELLERS / total)
         both = list(zip(told, (part * less for part in parts), strict=True))
-        return (_summed([own.came, *(_times(one.came, part) for one, part in both)]),
-                _summed([own.gone, *(_times(one.gone, part) for one, part in both)]))
+        return (
+            _summed([own.came, *(_times(one.came, part) for one, part in both)]),
+            _summed([own.gone, *(_times(one.gone, part) for one, part in both)]),
+        )
 
     def shift(self, by: int, keep: float = 1.0) -> None:
         for key in self.keys.values():
@@ -354,8 +378,7 @@
         elif now - engine.at > TOLD_AFTER_US:
             engine.told(shift, 0.5 * chance)
 
-    def see(self, now: int, key: Key, engine: Factor | None, shift: int, took: int,
-            whole: bool) -> int:
+    def see(self, now: int, key: Key, engine: Factor | None, shift: int, took: int, whole: bool) -> int:
         """A part came whole, or is known to take longer; ``engine``, if it speaks for one. Returns its
         bucket, as an engine of usual pace would have had it."""
         self.turn(now)
@@ -375,7 +398,7 @@
         part = 1 / len(rows)
         chances = [1.0] * len(SHIFTS)
         for row in rows:
-            chances = [product * chance ** part for product, chance in zip(chances, row, strict=True)]
+            chances = [product * chance**part for product, chance in zip(chances, row, strict=True)]
         family.pace.weigh(now, chances)
         if family.pace.shift and max(family.pace.weights) > SURE:
             family.moved(family.pace.shift)
@@ -401,8 +424,11 @@
         if now - self._origin > 20 * MEMORY_US:
             by = exp((self._origin - now) / MEMORY_US)
             for family in self.families.values():
-                for sketch in [*family.states, *(key.sketch for key in family.keys.values()),
-                               *family.others.values()]:
+                for sketch in [
+                    *family.states,
+                    *(key.sketch for key in family.keys.values()),
+                    *family.others.values(),
+                ]:
                     sketch.scale(by)
             self._origin = now
         self._fresh = exp((now - self._origin) / MEMORY_US)
--- a/slipbay/gather/moment.py
+++ b/slipbay/gather/moment.py
@@ -28,8 +28,11 @@
         share = min(1.0, n / count)
         after = min(max(bisect_left(points, (share, 2.0)), 1), len(points) - 1)
         (low, low_worth), (high, high_worth) = points[after - 1], points[after]
-        found[n] = high_worth if high <= low else low_worth + (high_worth - low_worth) * min(
-            1.0, (share - low) / (high - low))
+        found[n] = (
+            high_worth
+            if high <= low
+            else low_worth + (high_worth - low_worth) * min(1.0, (share - low) / (high - low))
+        )
     return found
 
 
@@ -48,7 +51,7 @@
         self.worths, self.least = worths(scattered.curve, count), least_parts(scattered.curve, count)
         steps = [self.worths[n + 1] - self.worths[n] for n in range(count)]
         # A part that ends takes at most the largest step from what is to gain: half that many may end unseen
-        self.safe = 0.5 / max(steps[self.least:] or [1.0])
+        self.safe = 0.5 / max(steps[self.least :] or [1.0])
         self.straight = count - 1
         while self.straight > 0 and abs(steps[self.straight - 1] - steps[-1]) < 1e-9:
             self.straight -= 1
@@ -69,8 +72,16 @@
 
     stride = STRIDE
 
-    def __init__(self, host: GatherMoments, now: int, scattered: Scattered, shape: Shape, family: Family,
-                 deadline: int, longer: bool) -> None:
+    def __init__(
+        self,
+        host: GatherMoments,
+        now: int,
+        scattered: Scattered,
+        shape: Shape,
+        family: Family,
+        deadline: int,
+        longer: bool,
+    ) -> None:
         self._host, self._scattered, self._shape, self._family = host, scattered, shape, family
         self._came, self._count = now, len(scattered.groups)
         self.last = min(now + scattered.latest_us, deadline)
@@ -90,8 +101,9 @@
             self._gave_up(now, self._out[place])
         self._unasked.discard(place)
         learned = self._host.learned
-        self._out[place] = Part(now, self._family.key(self._scattered.groups[place], state),
-                                learned.engine(now, engine))
+        self._out[place] = Part(
+            now, self._family.key(self._scattered.groups[place], state), learned.engine(now, engine)
+        )
         self._settled = 0
 
     def ended(self, now: int, place: int, fate: Fate) -> Verdict:
@@ -146,8 +158,9 @@
             self._host.over(now, self._family, self._spoke)
 
     def _saw(self, now: int, part: Part, whole: bool) -> None:
-        at = self._host.learned.see(now, part.key, part.engine if part.speaks else None,
-                                     part.engine.shift, now - part.at, whole)
+        at = self._host.learned.see(
+            now, part.key, part.engine if part.speaks else None, part.engine.shift, now - part.at, whole
+        )
         if self._speaks and len(self._spoke) < OF_A_QUERY:
             self._spoke.append((part.curve, at, whole))
 
@@ -171,7 +184,7 @@
             engines = len({id(part.engine) for part in self._out.values()})
             spread = 3.0 + 3.0 * ALIKE * (left / max(1, engines) - 1)
         before, waiting = now, 1.0
-        for edge, still, square in zip(EDGES[low:high:self.stride], missing, squares, strict=True):
+        for edge, still, square in zip(EDGES[low : high : self.stride], missing, squares, strict=True):
             when = came + edge
             if when > last:
                 when = last
@@ -228,8 +241,11 @@
                 base = PAD - shift
                 left = curve[at + base]
                 past += weight * (left + (curve[at + base + 1] - left) * part_way)
-                ahead = curve[low + base:high + base:stride] if places is None else [
-                    curve[base + place] for place in places]
+                ahead = (
+                    curve[low + base : high + base : stride]
+                    if places is None
+                    else [curve[base + place] for place in places]
+                )
                 if weight != 1.0:
                     ahead = [weight * chance for chance in ahead]
                 chances = ahead if chances is empty else list(map(add, chances, ahead))
@@ -266,8 +282,15 @@
         self.learned.turn(now)
         family = self.learned.family(now, scattered.service_class)
         family.queries += 1
-        return GatherMoment(self, now, scattered, shape, family, deadline,
-                            self.longer_every > 0 and family.queries % self.longer_every == 0)
+        return GatherMoment(
+            self,
+            now,
+            scattered,
+            shape,
+            family,
+            deadline,
+            self.longer_every > 0 and family.queries % self.longer_every == 0,
+        )
 
     def over(self, now: int, family: Family, spoke: list[tuple[list[float], int, bool]]) -> None:
         """A query's parts speak for the pace of their class, all together as one."""
--- a/slipbay/gather/part.py
+++ b/slipbay/gather/part.py
@@ -25,9 +25,17 @@
 
 
 class GatherPart:
-    def __init__(self, plan: GatherPlan, config: Config, core: Core, timers: Timers, now: Callable[[], int],
-                 condition: Callable[[EngineId, int], tuple[float, bool, float]],
-                 seen: Callable[[str], bool], link: Link | None) -> None:
+    def __init__(
+        self,
+        plan: GatherPlan,
+        config: Config,
+        core: Core,
+        timers: Timers,
+        now: Callable[[], int],
+        condition: Callable[[EngineId, int], tuple[float, bool, float]],
+        seen: Callable[[str], bool],
+        link: Link | None,
+    ) -> None:
         """``condition`` and ``seen``: see ``Scatterer``. ``link``: None where the channel is off."""
         self._name, self._now, self._timers = config.name, now, timers
         moments = GatherMoments(now())
@@ -39,8 +47,12 @@
             if 0 in link.topics:  # the channel answers commands on this machine
                 link.topics[Kind.GATHER] = self.status
         for one in plan.scattered:
-            log("gather", f"{one.service_class} is scattered in {len(one.groups)} parts of {one.part_class}",
-                least=f"{one.curve[0][0]:g}", latest_ms=one.latest_us // 1000)
+            log(
+                "gather",
+                f"{one.service_class} is scattered in {len(one.groups)} parts of {one.part_class}",
+                least=f"{one.curve[0][0]:g}",
+                latest_ms=one.latest_us // 1000,
+            )
 
     def status(self) -> dict[str, object]:
         return {"name": self._name, "words": dict(self.teller.counts), **self.scatterer.status()}
@@ -49,6 +61,7 @@
 
     def keep(self, write: Callable[[bytes], None]) -> None:
         """Have ``write`` keep what we saw of part times, from time to time."""
+
         def again() -> None:
             now = self._now()
             if bodies := self.teller.bodies(now):
@@ -87,6 +100,6 @@
         raise ValueError("it is of a time to come: a clock was set back")
     bodies, place = [], HEAD.size
     while place < len(body):
-        bodies.append(body[place + 1:place + 1 + body[place]])
+        bodies.append(body[place + 1 : place + 1 + body[place]])
         place += 1 + body[place]
     return bodies, now_us - at
--- a/slipbay/gather/scatter.py
+++ b/slipbay/gather/scatter.py
@@ -35,16 +35,25 @@
 class Scatterer:
     """All scattered queries of a router."""
 
-    def __init__(self, plan: GatherPlan, classes: Sequence[str], core: Core, timers: Timers, moments: Moments,
-                 condition: Callable[[EngineId, int], tuple[float, bool, float]],
-                 seen: Callable[[str], bool]) -> None:
+    def __init__(
+        self,
+        plan: GatherPlan,
+        classes: Sequence[str],
+        core: Core,
+        timers: Timers,
+        moments: Moments,
+        condition: Callable[[EngineId, int], tuple[float, bool, float]],
+        seen: Callable[[str], bool],
+    ) -> None:
         """``condition``: what the decisions hold of an engine now: share of its capacity, whether it is ill,
         and its pace against that of all. ``seen``: whether a client has used a name of late."""
         self.plan, self.core, self.timers, self.moments = plan, core, timers, moments
         self.condition, self._seen = condition, seen
         numbers = {name: number for number, name in enumerate(classes)}
-        self._by_class = {numbers[one.service_class]: (one, one.mark.encode(), numbers[one.part_class])
-                          for one in plan.scattered}
+        self._by_class = {
+            numbers[one.service_class]: (one, one.mark.encode(), numbers[one.part_class])
+            for one in plan.scattered
+        }
         self.open: dict[Request, Gathering] = {}
         self.names: set[str] = set()  # of parts that are not answered
         self.bytes = 0  # of rows that wait
@@ -64,13 +73,15 @@
         scattered, mark, part_class = self._by_class[request.service_class]
         groups, core, now = scattered.groups, self.core, self.core.clock.now()
         assert isinstance(request.work, bytes)
-        if (len(self.open) >= self.plan.most_open
-                or not core.has_room(len(groups), len(groups) * len(request.work))):
+        if len(self.open) >= self.plan.most_open or not core.has_room(
+            len(groups), len(groups) * len(request.work)
+        ):
             self.counts[scattered.service_class]["refused"] += 1
             return core.turn_away(request, self.later_us)
         lasts = min(request.expires_in_us, scattered.latest_us)
-        until = max(now + 1, now + min(
-            scattered.latest_us, request.expires_in_us - END_TICKS * core.settings.tick_us))
+        until = max(
+            now + 1, now + min(scattered.latest_us, request.expires_in_us - END_TICKS * core.settings.tick_us)
+        )
         request.deadline = now + request.expires_in_us
         gathering = Gathering(self, request, scattered, self.moments.begin(now, scattered, until), until)
         self.open[request] = gathering
@@ -80,10 +91,25 @@
         others = 0 if scattered.whole_cost else 1
         for place, group in enumerate(groups):
             work = request.work.replace(mark, b"%d" % group)
-            gathering.parts.append(Request(
-                names[place], part_class, lasts, work, gathering, request.back, cost, memory, group,
-                request.tenant, request.is_repeat, handle=place, size=len(work),
-                tokens=others if place else first, watcher=gathering))
+            gathering.parts.append(
+                Request(
+                    names[place],
+                    part_class,
+                    lasts,
+                    work,
+                    gathering,
+                    request.back,
+                    cost,
+                    memory,
+                    group,
+                    request.tenant,
+                    request.is_repeat,
+                    handle=place,
+                    size=len(work),
+                    tokens=others if place else first,
+                    watcher=gathering,
+                )
+            )
         self.names.update(names)
         if now < self._learned:
             self._submit_next(gathering, 0)
@@ -125,8 +151,11 @@
     def status(self) -> dict[str, object]:
         """What became of queries since the start, by class, as JSON has it; of those served,
         their parts."""
-        return {"open": len(self.open), "bytes": self.bytes, "classes": {
-            name: {key: counts[key] for key in COUNTS} for name, counts in self.counts.items()}}
+        return {
+            "open": len(self.open),
+            "bytes": self.bytes,
+            "classes": {name: {key: counts[key] for key in COUNTS} for name, counts in self.counts.items()},
+        }
 
     def state(self, engine: EngineId, now: int) -> State:
         capacity, ill, pace = self.condition(engine, now)
@@ -138,11 +167,29 @@
 class Gathering:
     """One scattered query: the client and the watcher of its parts."""
 
-    __slots__ = ("_scatterer", "request", "scattered", "moment", "until", "parts", "rows", "out", "_sent",
-                 "_ran", "_failed", "_later", "_held", "_due", "_fires", "_timer", "over")
-
-    def __init__(self, scatterer: Scatterer, request: Request, scattered: Scattered, moment: Moment,
-                 until: int) -> None:
+    __slots__ = (
+        "_scatterer",
+        "request",
+        "scattered",
+        "moment",
+        "until",
+        "parts",
+        "rows",
+        "out",
+        "_sent",
+        "_ran",
+        "_failed",
+        "_later",
+        "_held",
+        "_due",
+        "_fires",
+        "_timer",
+        "over",
+    )
+
+    def __init__(
+        self, scatterer: Scatterer, request: Request, scattered: Scattered, moment: Moment, until: int
+    ) -> None:
         self._scatterer, self.request, self.scattered = scatterer, request, scattered
         self.moment, self.until = moment, until
         self.parts: list[Request] = []
@@ -163,8 +210,13 @@
         if not self.over:
             now = attempt.sent
             self._sent.add(attempt)
-            self.told(self.moment.asked, now, attempt.request.handle,
-                      attempt.engine.decode("utf-8", "replace"), self._scatterer.state(attempt.engine, now))
+            self.told(
+                self.moment.asked,
+                now,
+                attempt.request.handle,
+                attempt.engine.decode("utf-8", "replace"),
+                self._scatterer.state(attempt.engine, now),
+            )
 
     def ended(self, attempt: Attempt, outcome: Outcome) -> None:
         if attempt in self._sent:
@@ -247,12 +299,14 @@
             counts["partial" if missing else "whole"] += 1
             counts["parts_present"] += len(present)
             counts["parts_missing"] += len(missing)
-            answer: Answer = Served(b"".join(part for part in rows if part is not None),
-                                    Parts(groups, present, missing))
+            answer: Answer = Served(
+                b"".join(part for part in rows if part is not None), Parts(groups, present, missing)
+            )
         elif self._ran or self._sent or self._failed:
             self._scatterer.counts[self.scattered.service_class]["failed"] += 1
-            answer = Failed(f"{len(present)} of {len(groups)} parts came in time, which is too few",
-                            now >= self.until)
+            answer = Failed(
+                f"{len(present)} of {len(groups)} parts came in time, which is too few", now >= self.until
+            )
         else:
             return self._refuse(now)
         self._answer(now, answer)
--- a/slipbay/gather/seam.py
+++ b/slipbay/gather/seam.py
@@ -83,4 +83,3 @@
 class Moments(Protocol):
     def begin(self, now: int, scattered: Scattered, deadline: int) -> Moment:
         """A query was let in; its parts leave now or soon. ``deadline``: when its client gives it up."""
-
--- a/slipbay/gather/settings.py
+++ b/slipbay/gather/settings.py
@@ -23,6 +23,7 @@
         return None
     need_msgspec(path.name, "gather")
     from slipbay.gather.form import Form
+
     form = convert(data, Form, path.name)
     try:
         return form.plan(config)
--- a/slipbay/gather/told.py
+++ b/slipbay/gather/told.py
@@ -60,15 +60,23 @@
     first = min(used, default=0)
     last = min(max(used, default=0), first + SPAN - 1)
     body = START.pack(Sort.TOLD, VERSION) + HEAD.pack(
-        word.service_class, word.state, word.number & 0xFFFFFFFF, sum(word.came), sum(word.gone),
-        first, last + 1 - first)
+        word.service_class,
+        word.state,
+        word.number & 0xFFFFFFFF,
+        sum(word.came),
+        sum(word.gone),
+        first,
+        last + 1 - first,
+    )
     for weights in (word.came, word.gone):
         row = [*weights[first:last], sum(weights[last:])]
         most = max(row) or 1.0
         body += bytes(round(255 * weight / most) for weight in row)
     room = (MOST_BODY - len(body)) // ENGINE.size
-    return body + b"".join(ENGINE.pack(digest, shift // STEP, round(255 * chance))
-                           for digest, shift, chance in word.engines[:room])
+    return body + b"".join(
+        ENGINE.pack(digest, shift // STEP, round(255 * chance))
+        for digest, shift, chance in word.engines[:room]
+    )
 
 
 def decode(body: bytes) -> Word | None:
@@ -77,14 +85,26 @@
         if START.unpack_from(body) != (Sort.TOLD, VERSION):
             return None
         service_class, state, number, came, gone, first, size = HEAD.unpack_from(body, START.size)
-        rest = body[START.size + HEAD.size:]
-        if first + size > BUCKETS or len(rest) < 2 * size or not all(
-                isfinite(one) and 0 <= one <= MOST_OBSERVATIONS for one in (came, gone)):
+        rest = body[START.size + HEAD.size :]
+        if (
+            first + size > BUCKETS
+            or len(rest) < 2 * size
+            or not all(isfinite(one) and 0 <= one <= MOST_OBSERVATIONS for one in (came, gone))
+        ):
             return None
-        engines = [(digest, steps * STEP, chance / 255) for digest, steps, chance in ENGINE.iter_unpack(
-            rest[2 * size:]) if steps * STEP in SHIFTS]
-        return Word(service_class, State(state), number, _row(rest[:size], first, came),
-                    _row(rest[size:2 * size], first, gone), engines)
+        engines = [
+            (digest, steps * STEP, chance / 255)
+            for digest, steps, chance in ENGINE.iter_unpack(rest[2 * size :])
+            if steps * STEP in SHIFTS
+        ]
+        return Word(
+            service_class,
+            State(state),
+            number,
+            _row(rest[:size], first, came),
+            _row(rest[size : 2 * size], first, gone),
+            engines,
+        )
     except (error, ValueError):
         return None
 
@@ -152,17 +172,21 @@
         learned = self._learned
         learned.turn(now)
         unit, bodies = learned.unit, []
-        engines = sorted((-abs(one.shift), digest) for digest, one in learned.engines.items()
-                         if now - one.at < RECENT_US)
-        shown = [(digest, learned.engines[digest].shift, max(learned.engines[digest].weights))
-                 for _, digest in engines]
+        engines = sorted(
+            (-abs(one.shift), digest) for digest, one in learned.engines.items() if now - one.at < RECENT_US
+        )
+        shown = [
+            (digest, learned.engines[digest].shift, max(learned.engines[digest].weights))
+            for _, digest in engines
+        ]
         for name, family in learned.families.items():
             for state, sketch in zip(State, family.states, strict=True):
                 if sketch.total * unit >= 1:
                     self._number += 1
                     came, gone = ([weight * unit for weight in row] for row in (sketch.came, sketch.gone))
-                    bodies.append(encode(Word(
-                        digest_of(name) & 0xFFFF, state, self._number, came, gone, shown)))
+                    bodies.append(
+                        encode(Word(digest_of(name) & 0xFFFF, state, self._number, came, gone, shown))
+                    )
         return bodies
 
     def restore(self, now: int, age_us: int, bodies: Sequence[bytes]) -> int:
@@ -187,14 +211,27 @@
     def _keep(self, now: int, sender: int, word: Word, part: float) -> bool:
         learned = self._learned
         learned.turn(now)
-        family = next((family for name, family in learned.families.items()
-                       if digest_of(name) & 0xFFFF == word.service_class), None)
+        family = next(
+            (
+                family
+                for name, family in learned.families.items()
+                if digest_of(name) & 0xFFFF == word.service_class
+            ),
+            None,
+        )
         if family is None:
             return False  # a class that we do not have
         scale = part / learned.unit
-        family.tell(now, sender, word.state, Sketch(
-            [weight * scale for weight in word.came], [weight * scale for weight in word.gone],
-            (sum(word.came) + sum(word.gone)) * scale))
+        family.tell(
+            now,
+            sender,
+            word.state,
+            Sketch(
+                [weight * scale for weight in word.came],
+                [weight * scale for weight in word.gone],
+                (sum(word.came) + sum(word.gone)) * scale,
+            ),
+        )
         for digest, shift, chance in word.engines:
             learned.hint(now, digest, shift, part * chance)
         return True
--- a/slipbay/ledger/life.py
+++ b/slipbay/ledger/life.py
@@ -126,8 +126,12 @@
 
     def leaves(self, entry: Entry, attempt: int) -> bool:
         """The intent of an attempt is durable: whether it may leave now. False where it was given up."""
-        allowed = (entry.phase is Phase.RUNNING and entry.intent is not None
-                   and entry.intent.attempt == attempt and self.entries.get(entry.key) is entry)
+        allowed = (
+            entry.phase is Phase.RUNNING
+            and entry.intent is not None
+            and entry.intent.attempt == attempt
+            and self.entries.get(entry.key) is entry
+        )
         entry.left = entry.left or allowed
         return allowed
 
@@ -222,11 +226,28 @@
     @staticmethod
     def _record(entry: Entry) -> Change:
         intent = entry.intent
-        value: bytes = msgpack.packb([
-            entry.digest, entry.named, entry.phase.value, entry.fate and entry.fate.value, entry.answer_bytes,
-            entry.told, entry.at_us, intent and [
-                intent.attempt, intent.engine, intent.birth_us, intent.wire, intent.name, intent.thread,
-                intent.at_us, intent.deadline_us]])
+        value: bytes = msgpack.packb(
+            [
+                entry.digest,
+                entry.named,
+                entry.phase.value,
+                entry.fate and entry.fate.value,
+                entry.answer_bytes,
+                entry.told,
+                entry.at_us,
+                intent
+                and [
+                    intent.attempt,
+                    intent.engine,
+                    intent.birth_us,
+                    intent.wire,
+                    intent.name,
+                    intent.thread,
+                    intent.at_us,
+                    intent.deadline_us,
+                ],
+            ]
+        )
         return REQUEST + entry.key, value
 
     def load(self, records: Iterable[tuple[bytes, bytes]]) -> list[Entry]:
@@ -248,7 +269,18 @@
     try:
         digest, named, phase, fate, answer_bytes, told, at, told_intent = msgpack.unpackb(value)
         intent = None if told_intent is None else Intent(*told_intent)
-        return Entry(key[1:], digest, named, Phase(phase), intent, True, False, fate and Fate(fate),
-                     answer_bytes, told, at)
+        return Entry(
+            key[1:],
+            digest,
+            named,
+            Phase(phase),
+            intent,
+            True,
+            False,
+            fate and Fate(fate),
+            answer_bytes,
+            told,
+            at,
+        )
     except (ValueError, TypeError) as problem:
         raise ValueError(f"the record of {key!r} can't be read: {problem}") from None
--- a/slipbay/ledger/lives.py
+++ b/slipbay/ledger/lives.py
@@ -109,9 +109,11 @@
         if self._closed:
             return []
         few = not self._ran and (self.heard or not self._asked)  # a majority will do; the others come later
-        sends = [(to, self._say(ASK, self._life, 0, NOBODY))
-                 for to in (self.witnesses[:self.majority] if few else self.witnesses)
-                 if quiet or to not in self._lives]
+        sends = [
+            (to, self._say(ASK, self._life, 0, NOBODY))
+            for to in (self.witnesses[: self.majority] if few else self.witnesses)
+            if quiet or to not in self._lives
+        ]
         self._asked = True
         for to in self.witnesses:
             if self._mine is not None and to in self._lives and to not in self._acked:
@@ -126,8 +128,13 @@
         if len(body) not in LENGTHS:
             return []
         what, asker, witness = HEAD.unpack_from(body)
-        if len(body) not in {ASK: LENGTHS[:1], HELD: LENGTHS, OPEN: LENGTHS[1:2], OPENED: LENGTHS[:1],
-                             CLOSED: LENGTHS[2:]}.get(what, ()):
+        if len(body) not in {
+            ASK: LENGTHS[:1],
+            HELD: LENGTHS,
+            OPEN: LENGTHS[1:2],
+            OPENED: LENGTHS[:1],
+            CLOSED: LENGTHS[2:],
+        }.get(what, ()):
             return []
         word = NOBODY
         if len(body) > LENGTHS[0]:
@@ -150,17 +157,22 @@
         if held is None:
             self.remembered[sender] = Remembered(word)
             return True
-        if word.store in held.past or held.word.store == word.store and (
+        if (
+            word.store in held.past
+            or held.word.store == word.store
+            and (
                 word.generation < held.word.generation
-                or word.generation == held.word.generation and held.word.sequence is not None):
+                or word.generation == held.word.generation
+                and held.word.sequence is not None
+            )
+        ):
             return False
         if held.word.store != word.store:
             held.past = (*held.past, held.word.store)[-MOST_PAST:]
         held.word = word
         return True
 
-    def _answered(self, now: int, sender: int, what: int, asker: int, witness: int,
-                  word: Word) -> list[Send]:
+    def _answered(self, now: int, sender: int, what: int, asker: int, witness: int, word: Word) -> list[Send]:
         if asker != self._life or sender not in self.witnesses or self._closed:
             return []
         sends: list[Send] = []
--- a/slipbay/ledger/recovery.py
+++ b/slipbay/ledger/recovery.py
@@ -88,7 +88,7 @@
         if now >= self.until_us:
             return []
         count = min(most - self.under_way, len(self.entries) - self.next)
-        chosen = self.entries[self.next:self.next + count]
+        chosen = self.entries[self.next : self.next + count]
         self.next += len(chosen)
         self.under_way += len(chosen)
         return chosen
@@ -100,7 +100,7 @@
         """Those never looked into, once time is up."""
         if now < self.until_us:
             return []
-        left, self.next = self.entries[self.next:], len(self.entries)
+        left, self.next = self.entries[self.next :], len(self.entries)
         return left
 
     @property
--- a/slipbay/ledger/tally.py
+++ b/slipbay/ledger/tally.py
@@ -44,8 +44,9 @@
     ``ValueError`` where it is none of ours.
     """
     try:
-        taken, extras = ([(min(int(at), now), float(amount)) for at, amount in items]
-                         for items in msgpack.unpackb(value))
+        taken, extras = (
+            [(min(int(at), now), float(amount)) for at, amount in items] for items in msgpack.unpackb(value)
+        )
     except (ValueError, TypeError) as problem:
         raise ValueError(f"the record of the ration can't be read: {problem}") from None
     return Remembered(tuple(taken), tuple(extras))
--- a/slipbay/log.py
+++ b/slipbay/log.py
@@ -40,18 +40,24 @@
 
 def _named(logger: object, name: str, event: MutableMapping[str, Any]) -> MutableMapping[str, Any]:
     """Field names for machines: ``class_`` is ``class``, and bytes are text."""
-    return {key.rstrip("_"): value.decode(errors="replace") if isinstance(value, bytes) else value
-            for key, value in event.items()}
+    return {
+        key.rstrip("_"): value.decode(errors="replace") if isinstance(value, bytes) else value
+        for key, value in event.items()
+    }
 
 
 def _make(form: str) -> structlog.BoundLogger:
     processors: list[Any] = [_named, _console]
     if form == "json":
-        processors = [_named, structlog.processors.EventRenamer("text"),
-                      structlog.processors.TimeStamper(fmt="iso", utc=True, key="at"),
-                      structlog.processors.JSONRenderer()]
+        processors = [
+            _named,
+            structlog.processors.EventRenamer("text"),
+            structlog.processors.TimeStamper(fmt="iso", utc=True, key="at"),
+            structlog.processors.JSONRenderer(),
+        ]
     logger: structlog.BoundLogger = structlog.wrap_logger(
-        _StandardError(), processors=processors, wrapper_class=structlog.BoundLogger)
+        _StandardError(), processors=processors, wrapper_class=structlog.BoundLogger
+    )
     return logger
 
 
--- a/slipbay/operators.py
+++ b/slipbay/operators.py
@@ -44,6 +44,7 @@
     """Checks what a file named ``name`` held, in ``table`` or in all of it. Raises ``ConfigError``."""
     need_msgspec(name)
     import msgspec
+
     try:
         return msgspec.convert(data, kind)
     except msgspec.ValidationError as problem:
@@ -56,8 +57,7 @@
             text = (f"want {' or '.join(map(repr, choices))}" if choices else text) + _got(data, path)
         else:
             key = f"{key}.{unknown[2]}"
-            text = ("missing" if unknown[1] == "required" else
-                    f"no such key; there are {_known(kind, path)}")
+            text = "missing" if unknown[1] == "required" else f"no such key; there are {_known(kind, path)}"
         raise ConfigError(f"{name}: {f'{table}.{key}'.strip('.') or 'all'}: {text}") from None
 
 
@@ -83,8 +83,7 @@
 
 def finite(data: object, name: str, path: str = "") -> None:
     """TOML can say ``inf`` and ``nan``, of which nothing can be made. Raises ``ConfigError``."""
-    items = (data.items() if isinstance(data, dict) else
-             enumerate(data) if isinstance(data, list) else ())
+    items = data.items() if isinstance(data, dict) else enumerate(data) if isinstance(data, list) else ()
     for key, value in items:
         at = f"{path}[{key}]" if isinstance(key, int) else f"{path}.{key}".lstrip(".")
         if isinstance(value, float) and not isfinite(value):
@@ -105,6 +104,7 @@
 def _type(kind: Any, path: list[str]) -> Any:
     """Of the place, as the Struct declares it; None where it can't be told."""
     from msgspec.structs import fields
+
     try:
         for key in path:
             kind = {field.encode_name: field.type for field in fields(kind)}[key]
@@ -116,5 +116,6 @@
 def _known(kind: Any, path: list[str]) -> str:
     """Keys that the table at the place may have."""
     from msgspec.structs import fields
+
     found = _type(kind, path)
     return ", ".join(field.encode_name for field in fields(found)) if found is not None else "others"
--- a/slipbay/quota/births.py
+++ b/slipbay/quota/births.py
@@ -43,7 +43,9 @@
         """Whether each of the lives that all know stated, once it knew them, that it had held nothing."""
         return self.stated == self._sum() != 0 and all(
             self._heard.get(number) == (life, self.stated)
-            for number, life in self.lives.items() if number != self.me)
+            for number, life in self.lives.items()
+            if number != self.me
+        )
 
     def _sum(self) -> int:
         """Of the lives of all routers; 0 while any is not known."""
@@ -90,13 +92,17 @@
         if self.done or self.held or self._old:
             return []
         lives, found = self.lives, self._sum()
-        lacking = self._wanted | {number for number in range(self.size) if number != self.me and (
-            self._heard.get(number) != (lives[number], found) if found else number not in lives)}
+        lacking = self._wanted | {
+            number
+            for number in range(self.size)
+            if number != self.me
+            and (self._heard.get(number) != (lives[number], found) if found else number not in lives)
+        }
         due = sorted(number for number in lacking if now - self._told.get(number, now - TELL_US) >= TELL_US)
         due = [*(n for n in due if n > self.me), *(n for n in due if n < self.me)]
         if len(lives) == 1 and self._told and now < min(self._told.values()) + ALONE_US:
             return []  # those who were told first have not answered yet
-        due = due[:MOST if self._told else FIRST]
+        due = due[: MOST if self._told else FIRST]
         self._told.update(dict.fromkeys(due, now))
         self._wanted -= set(due)
         return due
--- a/slipbay/quota/codec.py
+++ b/slipbay/quota/codec.py
@@ -79,14 +79,16 @@
 def encode_word(word: Word) -> bytes:
     sort, version, layout, tag, term_ms, places = word
     return HEAD.pack(sort, version, layout, tag, term_ms) + b"".join(
-        PLACE.pack(home, number, min(span_ms, 2**16 - 1)) for home, number, span_ms in places)
+        PLACE.pack(home, number, min(span_ms, 2**16 - 1)) for home, number, span_ms in places
+    )
 
 
 def encode(message: Message) -> bytes:
     sort, version, layout, tag, term_ms, entries = message
     return HEAD.pack(sort, version, layout, tag, term_ms) + b"".join(
         ENTRY.pack(key, amount, want, min(demand, MOST_FLOAT), min(share, MOST_FLOAT))
-        for key, amount, want, demand, share in entries)
+        for key, amount, want, demand, share in entries
+    )
 
 
 def decode(body: bytes) -> Message | Word | None:
@@ -97,7 +99,7 @@
     entry = ENTRY if sort in LOANS else PLACE
     if (len(body) - HEAD.size) % entry.size:
         return None
-    found = entry.iter_unpack(body[HEAD.size:])
+    found = entry.iter_unpack(body[HEAD.size :])
     if sort not in LOANS:
         return Word(Sort(sort), version, layout, tag, term_ms, [Place(*fields) for fields in found])
     entries = [Entry(*fields) for fields in found]
--- a/slipbay/quota/gate.py
+++ b/slipbay/quota/gate.py
@@ -15,8 +15,14 @@
 class QuotaGate:
     """No request waits for a message, whatever its class."""
 
-    def __init__(self, machine: Machine, tenants: Sequence[str], classes: Sequence[str],
-                 fresh: Callable[[], int], most_later_us: int) -> None:
+    def __init__(
+        self,
+        machine: Machine,
+        tenants: Sequence[str],
+        classes: Sequence[str],
+        fresh: Callable[[], int],
+        most_later_us: int,
+    ) -> None:
         """``fresh``: the time as it is, as the process may have stood still. ``most_later_us``: of a refusal,
         as the platform wants it."""
         self._machine, self._tenants, self._classes = machine, list(tenants), list(classes)
@@ -30,8 +36,10 @@
         self._routes.clear()
 
     def _route(self, tenant: int, class_: int) -> Route:
-        names = (self._tenants[tenant] if tenant < len(self._tenants) else "",
-                 self._classes[class_] if class_ < len(self._classes) else "")
+        names = (
+            self._tenants[tenant] if tenant < len(self._tenants) else "",
+            self._classes[class_] if class_ < len(self._classes) else "",
+        )
         found = []
         for quota in quotas_of(self._machine.plan, *names):
             account = self._machine.accounts[key_of(quota.name)]
--- a/slipbay/quota/machine.py
+++ b/slipbay/quota/machine.py
@@ -68,8 +68,9 @@
 class Machine:
     """One router's part in all quotas."""
 
-    def __init__(self, me: int, size: int, plan: Plan, random: Random, now: int, *,
-                 clocks: Clocks = CLOCKS) -> None:
+    def __init__(
+        self, me: int, size: int, plan: Plan, random: Random, now: int, *, clocks: Clocks = CLOCKS
+    ) -> None:
         self.me, self.size, self.random, self.clocks, self.born = me, size, random, clocks, now
         self.accounts: dict[int, Account] = {}
         self._shares: dict[int, Shares] = {}  # of quotas that are no longer in the plan too
@@ -127,8 +128,12 @@
                 self._clerks[key] = [n for n in holders[first:] + holders[:first] if n != self.me]
             self.accounts[key] = Account(plan, quota, self.size, self._shares[key], now)
         if self.tenure is not None:
-            self.tenure.follow(plan.version, self._layout, plan.term_ms * 1000, {
-                n for key in self.accounts for n, part in enumerate(self._homes[key]) if part})
+            self.tenure.follow(
+                plan.version,
+                self._layout,
+                plan.term_ms * 1000,
+                {n for key in self.accounts for n, part in enumerate(self._homes[key]) if part},
+            )
 
     def follow(self, now: int, plan: Plan) -> None:
         """Another plan. Shares stay as they are, as they are parts of whatever the plan says. What is new in
@@ -179,8 +184,11 @@
         if births is None or births.done:
             return
         births.state(self._drop)
-        wakes = (self.tenure.warden.wakes if self.tenure is not None else
-                 max([now, *(shares.wakes for shares in self._shares.values())]))
+        wakes = (
+            self.tenure.warden.wakes
+            if self.tenure is not None
+            else max([now, *(shares.wakes for shares in self._shares.values())])
+        )
         if births.all_new():
             self.counts["all began anew"] += 1
             if self.tenure is not None:
@@ -253,12 +261,19 @@
         term_ms = self.plan.term_ms
         if self.tenure is not None:
             term_ms = self.tenure.lasting(now, term_ms * 1000) // 1000
-        answers = [answer for entry in message.entries if (answer := self._take_ask(
-            now, (sender, life), message.tag, entry, able, term_ms)) is not None]
+        answers = [
+            answer
+            for entry in message.entries
+            if (answer := self._take_ask(now, (sender, life), message.tag, entry, able, term_ms)) is not None
+        ]
         if not answers:
             return []
-        return [(sender, encode(Message(
-            Sort.ANSWER, self.plan.version, self._layout, message.tag, term_ms, answers)))]
+        return [
+            (
+                sender,
+                encode(Message(Sort.ANSWER, self.plan.version, self._layout, message.tag, term_ms, answers)),
+            )
+        ]
 
     def _tenured(self, now: int, words: list[Send]) -> list[Send]:
         """Words about tenure that may leave, when the shares are as it has them."""
@@ -275,8 +290,14 @@
             account = self.accounts.get(key)
             if account is not None:
                 account.settle(now)
-            shares.rehome(now, {number: Home(amount, now, ends) for number, ends in self._held.items()
-                                if (amount := self._homes[key][number])})
+            shares.rehome(
+                now,
+                {
+                    number: Home(amount, now, ends)
+                    for number, ends in self._held.items()
+                    if (amount := self._homes[key][number])
+                },
+            )
             if account is not None:
                 account.changed(now)
 
@@ -284,8 +305,11 @@
         """Holders to ask, and those who have homes of theirs that did not answer."""
         if self.tenure is None or not self._missed:
             return self._holders[key]
-        others = {self.tenure.places[number][0] for number in self._missed
-                  if number in self.tenure.places and self._homes[key][number]}
+        others = {
+            self.tenure.places[number][0]
+            for number in self._missed
+            if number in self.tenure.places and self._homes[key][number]
+        }
         return [*self._holders[key], *(others - {self.me, NOBODY, *self._holders[key]})]
 
     def _take_answer(self, now: int, sender: int, message: Message, entry: Entry) -> bool:
@@ -306,8 +330,9 @@
             return entry.amount < before
         return False
 
-    def _take_ask(self, now: int, borrower: tuple[int, int], tag: int, entry: Entry,
-                  able: bool, term_ms: int) -> Entry | None:
+    def _take_ask(
+        self, now: int, borrower: tuple[int, int], tag: int, entry: Entry, able: bool, term_ms: int
+    ) -> Entry | None:
         account = self.accounts.get(entry.key)
         if account is None:
             return None
@@ -334,8 +359,7 @@
         hint = self._hint(entry.key, borrower[0], entry.want - amount) if short else -1
         return Entry(entry.key, amount, hint + 1, *self._says(entry.key, account, borrower[0]))
 
-    def _spare(self, now: int, account: Account, borrower: tuple[int, int],
-               term_ms: int) -> tuple[int, int]:
+    def _spare(self, now: int, account: Account, borrower: tuple[int, int], term_ms: int) -> tuple[int, int]:
         """What a router can do without, and what it may lend at all."""
         shares = account.shares
         room = shares.room(now, borrower, term_ms * 1000)
@@ -355,7 +379,8 @@
             table.get(entry.key, {}).pop(sender, None)  # it counts elsewhere
         else:
             table.setdefault(entry.key, {})[sender] = Heard(
-                entry.demand, entry.share, now, max(0, entry.want - WHOLE) * TOLD)
+                entry.demand, entry.share, now, max(0, entry.want - WHOLE) * TOLD
+            )
 
     # What is wanted
 
@@ -364,8 +389,10 @@
         heard, home = self._clients.get(key, {}).values(), account.shares.home
         if self._young:  # else all go by what all lacked, until they have heard of each anew
             home = account.shares.reserve + self._homes[key][self.me]
-        return (self._mine(account)[0] + sum(one.demand for one in heard),
-                home / self._even + sum(one.share for one in heard))
+        return (
+            self._mine(account)[0] + sum(one.demand for one in heard),
+            home / self._even + sum(one.share for one in heard),
+        )
 
     def _pooled(self, key: int, account: Account) -> tuple[float, float]:
         """Demand and share of the fleet, as far as they are known. A router counts at its clerks alone, so
@@ -401,8 +428,9 @@
 
     def _spares(self, key: int) -> dict[int, int]:
         """What holders said that they can do without."""
-        return {n: one.spare for n, one in self._told.get(key, {}).items()
-                if one.spare and n not in self._missed}
+        return {
+            n: one.spare for n, one in self._told.get(key, {}).items() if one.spare and n not in self._missed
+        }
 
     def _hint(self, key: int, borrower: int, lack: int) -> int:
         """Another holder that is likely to have something to spare; -1 if none is known."""
@@ -436,11 +464,15 @@
         if self.tenure is None or not self._unsaid and not self._again:
             return []
         tried, self._unsaid = self._unsaid, {}
-        self._again = {key: since for key, (since, body) in tried.items()
-                       if now - since < AGAIN_US and self.tenure.stands(now, key[0], body)}
+        self._again = {
+            key: since
+            for key, (since, body) in tried.items()
+            if now - since < AGAIN_US and self.tenure.stands(now, key[0], body)
+        }
         self.tenure.unsaid = {to for to, sort in self._again if sort == Sort.HOLD}
-        return self._leaving(now, [(key[0], tried[key][1])
-                                   for key in sorted(self._again, key=self._again.__getitem__)])
+        return self._leaving(
+            now, [(key[0], tried[key][1]) for key in sorted(self._again, key=self._again.__getitem__)]
+        )
 
     def _leaving(self, now: int, words: list[Send]) -> list[Send]:
         """Words that may leave now; others are said later."""
@@ -458,8 +490,16 @@
         self.ends = min(self.ends, by)
 
     def _end(self, now: int) -> list[Send]:
-        lent = {who for shares in self._shares.values() for (who, _), one in shares.lent.items()
-                if one.most(now, self.clocks)} if self.tenure is not None else set()
+        lent = (
+            {
+                who
+                for shares in self._shares.values()
+                for (who, _), one in shares.lent.items()
+                if one.most(now, self.clocks)
+            }
+            if self.tenure is not None
+            else set()
+        )
         back = max((shares.back(now) for shares in self._shares.values()), default=now) if lent else now
         sends: list[Send] = []
         asks: dict[int, dict[int, Entry]] = {}
@@ -495,8 +535,12 @@
         if self.tenure is not None:
             self._young &= self.me not in self._held and now < self.tenure.warden.wakes + self.tenure.length
         self._awake = not ending and all(account.shares.awake(now) for account in self.accounts.values())
-        waits = (self.births is not None and self.births.waits(now) and not self.others  # who speak of more
-                 and now < self.born + SECOND)
+        waits = (
+            self.births is not None
+            and self.births.waits(now)
+            and not self.others  # who speak of more
+            and now < self.born + SECOND
+        )
         asks: dict[int, dict[int, Entry]] = {}  # by router and quota
         for key, account in self.accounts.items():
             account.count(now)
@@ -507,16 +551,23 @@
                         del table[number]
             if account.shares.loans or account.shares.lent:
                 account.shares.forget(now)
-            if not ending and not waits and (account.demand or account.shares.loans
-                               or now - self._busy.get(key, 0) < self._heard_us):
+            if (
+                not ending
+                and not waits
+                and (account.demand or account.shares.loans or now - self._busy.get(key, 0) < self._heard_us)
+            ):
                 self._plan_asks(now, key, account, asks)
-        self._missed = {number: many for number, (since, many) in self._asked.items()
-                        if many > 1 and now - since > SECOND}
+        self._missed = {
+            number: many for number, (since, many) in self._asked.items() if many > 1 and now - since > SECOND
+        }
         sends = self._say_again(now)
         if self.births is not None and not self.births.done:
             self._newborn(now)
-            sends += [(to, self._born(self.births.stated, State.WANTS)) for to in self.births.tell(now)
-                      if self._spend(now, HEAD.size, OVERDRAWN)]
+            sends += [
+                (to, self._born(self.births.stated, State.WANTS))
+                for to in self.births.tell(now)
+                if self._spend(now, HEAD.size, OVERDRAWN)
+            ]
         if ending:
             return sends + self._end(now)
         if self.tenure is not None and not waits:
@@ -561,8 +612,7 @@
         if now - self._busy.get(key, 0) < self._heard_us:
             self._greet(now, key, account, asks)
         pause = RETRY_US if lack > 0.5 else self._greet_us // (4 if lack > 0.2 * wanted else 1)
-        if (lack * even <= lacking or not demand or waiting > ASKED
-                or now - self._lacked.get(key, 0) < pause):
+        if lack * even <= lacking or not demand or waiting > ASKED or now - self._lacked.get(key, 0) < pause:
             return
         self._lacked[key] = now
         for lender in self._candidates(now, key, account, 1 + min(ASKED, int(lack * self._many))):
@@ -572,8 +622,15 @@
         """How far chance moves our demand, in even shares."""
         return sqrt(account.demand * SECOND / account.memory / 2) / account.even_rate
 
-    def _want(self, now: int, key: int, account: Account, lender: int, lack: float,
-              asks: dict[int, dict[int, Entry]]) -> None:
+    def _want(
+        self,
+        now: int,
+        key: int,
+        account: Account,
+        lender: int,
+        lack: float,
+        asks: dict[int, dict[int, Entry]],
+    ) -> None:
         keep = self._kept(now, account.shares.loans.get(lender))
         want = max(1, min(WHOLE, keep + int(lack * self._even)))
         asks.setdefault(lender, {})[key] = Entry(key, keep, want, 0.0, 0.0)
@@ -620,8 +677,9 @@
         for number in self._lenders(key):
             loan = account.shares.loans.get(number)
             pause = SECOND if number in self._missed else RETRY_US
-            if (now >= self._quiet.get((key, number), 0)
-                    and (loan is None or not loan.open or now - loan.asked >= pause)):
+            if now >= self._quiet.get((key, number), 0) and (
+                loan is None or not loan.open or now - loan.asked >= pause
+            ):
                 able.append(number)
         self.random.shuffle(able)
         if self._holds(account):
@@ -655,8 +713,9 @@
             if any(0 < entry.want <= WHOLE for entry in kept):
                 since, many = self._asked.get(lender, (now, 0))
                 self._asked[lender] = since, many + 1
-            sends.append((lender, encode(Message(
-                Sort.ASK, self.plan.version, self._layout, self._tag, 0, kept))))
+            sends.append(
+                (lender, encode(Message(Sort.ASK, self.plan.version, self._layout, self._tag, 0, kept)))
+            )
         if len(self._quiet) > 4 * self.size:
             self._quiet = {what: until for what, until in self._quiet.items() if until > now}
         return sends
@@ -688,6 +747,8 @@
 
 def quotas_of(plan: Plan, tenant: str, class_: str) -> list[Quota]:
     """Those that a request must have a token of."""
-    return [quota for quota in plan.quotas
-            if (not quota.tenants or tenant in quota.tenants)
-            and (not quota.classes or class_ in quota.classes)]
+    return [
+        quota
+        for quota in plan.quotas
+        if (not quota.tenants or tenant in quota.tenants) and (not quota.classes or class_ in quota.classes)
+    ]
--- a/slipbay/quota/part.py
+++ b/slipbay/quota/part.py
@@ -24,14 +24,17 @@
 class QuotaPart:
     """Call ``start`` when the channel is about to start."""
 
-    def __init__(self, config: Config, plan: Plan, core: Core, clock: Clock, timers: Timers,
-                 link: Link) -> None:
+    def __init__(
+        self, config: Config, plan: Plan, core: Core, clock: Clock, timers: Timers, link: Link
+    ) -> None:
         self._clock, self._timers, self._name = clock, timers, config.name
-        self.machine = Machine(config.settings.gateway, len(config.peers), plan, Random(config.seed ^ 0x51),
-                               clock.fresh())
+        self.machine = Machine(
+            config.settings.gateway, len(config.peers), plan, Random(config.seed ^ 0x51), clock.fresh()
+        )
         self.machine.begin(link.mux.life)
-        self.gate = QuotaGate(self.machine, config.tenants, config.classes, clock.fresh,
-                              config.settings.max_retry_after_us)
+        self.gate = QuotaGate(
+            self.machine, config.tenants, config.classes, clock.fresh, config.settings.max_retry_after_us
+        )
         core.gates.append(self.gate)
         link.mux.add(Kind.QUOTA, self.machine)
         self.machine.room = lambda now: link.mux.room(now, Kind.QUOTA)
@@ -45,8 +48,10 @@
     def start(self) -> None:
         plan = self.machine.plan
         until = "our home is promised to us" if self.machine.tenure else "what an earlier life lent has ended"
-        log("quota", f"plan {plan.version} with {len(plan.quotas)} quotas; only our reserve is used until "
-                     f"{until}")
+        log(
+            "quota",
+            f"plan {plan.version} with {len(plan.quotas)} quotas; only our reserve is used until {until}",
+        )
         self._watch()
 
     def follow(self, plan: Plan) -> None:
@@ -70,8 +75,15 @@
     def _tell_end(self) -> None:
         left = self.machine.given_at - self._clock.fresh()
         if self.machine.given_at:
-            log("quota", "our homes are given back" + (
-                f" in {left / 1e6:.2f} s, when the last that is lent of them has ended" if left > 0 else ""))
+            log(
+                "quota",
+                "our homes are given back"
+                + (
+                    f" in {left / 1e6:.2f} s, when the last that is lent of them has ended"
+                    if left > 0
+                    else ""
+                ),
+            )
 
     def _watch(self) -> None:
         """Say what changed, once a second."""
@@ -80,22 +92,31 @@
         if machine.counts["all began anew"] and not self._anew:
             self._anew = True
             log("quota", "all routers began anew and hold nothing of before; none waits for what may be out")
-        if machine.tenure is None and self._asleep and all(
-                account.shares.awake(now) for account in machine.accounts.values()):
+        if (
+            machine.tenure is None
+            and self._asleep
+            and all(account.shares.awake(now) for account in machine.accounts.values())
+        ):
             self._asleep = False
             log("quota", "all that an earlier life lent has ended; our share is ours to use and lend")
         versions = set(machine.others.values()) - {machine.plan.version}
         if versions != self._versions:
             self._versions = versions
             if versions:
-                log("quota", f"others run plans {', '.join(map(str, sorted(versions)))}, we run "
-                             f"{machine.plan.version}; the larger holds meanwhile")
+                log(
+                    "quota",
+                    f"others run plans {', '.join(map(str, sorted(versions)))}, we run "
+                    f"{machine.plan.version}; the larger holds meanwhile",
+                )
             else:
                 log("quota", f"all that we hear run plan {machine.plan.version}")
         if machine.counts["another layout"] and not self._strange:
             self._strange = True
-            log("quota", "a router divides quotas in another way (routers, holders, reserve or wardens); "
-                         "the bound may be passed until all agree")
+            log(
+                "quota",
+                "a router divides quotas in another way (routers, holders, reserve or wardens); "
+                "the bound may be passed until all agree",
+            )
         self._timers.after(WATCH_US, self._watch)
 
     def _watch_homes(self, now: int) -> None:
@@ -111,8 +132,10 @@
                 log("quota", f"the home of {home} is taken over, as it did not ask for it")
         for home in sorted(self._homes - held):
             if home == me:
-                log("quota", "our home is no longer ours: no majority of its wardens promises it; our "
-                             "reserve goes on")
+                log(
+                    "quota",
+                    "our home is no longer ours: no majority of its wardens promises it; our reserve goes on",
+                )
             elif home in tenure.given_back:
                 log("quota", f"the home of {home} is given back")
             else:
@@ -128,24 +151,48 @@
             account.settle(now)
             shares = account.shares
             quotas[account.quota.name] = {
-                "rate": account.quota.rate, "burst": account.quota.burst, "asked": round(account.demand, 2),
-                "share": round(account.share / WHOLE, 4), "home": round(shares.home / WHOLE, 4),
-                "tokens": round(account.bucket.tokens, 2), "open": account.open,
-                "awake": shares.awake(now), "counts": dict(account.counts),
-                "lent": {str(who): round(lent.most(now, shares.clocks) / WHOLE, 4)
-                         for (who, _), lent in shares.lent.items() if lent.most(now, shares.clocks)},
-                "borrowed": {str(who): [round(loan.amount / WHOLE, 4), round((now - loan.asked) / 1e6, 2)]
-                             for who, loan in shares.loans.items() if loan.amount and loan.term.valid(now)}}
+                "rate": account.quota.rate,
+                "burst": account.quota.burst,
+                "asked": round(account.demand, 2),
+                "share": round(account.share / WHOLE, 4),
+                "home": round(shares.home / WHOLE, 4),
+                "tokens": round(account.bucket.tokens, 2),
+                "open": account.open,
+                "awake": shares.awake(now),
+                "counts": dict(account.counts),
+                "lent": {
+                    str(who): round(lent.most(now, shares.clocks) / WHOLE, 4)
+                    for (who, _), lent in shares.lent.items()
+                    if lent.most(now, shares.clocks)
+                },
+                "borrowed": {
+                    str(who): [round(loan.amount / WHOLE, 4), round((now - loan.asked) / 1e6, 2)]
+                    for who, loan in shares.loans.items()
+                    if loan.amount and loan.term.valid(now)
+                },
+            }
         tenure: dict[str, object] | None = None
         if machine.tenure is not None:
             held = machine.tenure.held(now)
-            tenure = {"wardens": machine.tenure.group, "waits": now < machine.tenure.warden.wakes,
-                      "homes": {str(home): round((ends - now) / 1e6, 2) for home, ends in held.items()},
-                      "wanted": sorted(set(machine.tenure.wants) - set(held)),
-                      "promised": {str(home): left for home in machine.tenure.warden.books
-                                   if (left := machine.tenure.warden.left(now, home)[0]) != NOBODY},
-                      "counts": dict(machine.tenure.counts)}
-        return {"name": self._name, "number": machine.me, "configured": machine.size,
-                "version": machine.plan.version, "versions": sorted(set(machine.others.values())),
-                "quotas": quotas, "tenure": tenure, "counts": dict(machine.counts)}
-
+            tenure = {
+                "wardens": machine.tenure.group,
+                "waits": now < machine.tenure.warden.wakes,
+                "homes": {str(home): round((ends - now) / 1e6, 2) for home, ends in held.items()},
+                "wanted": sorted(set(machine.tenure.wants) - set(held)),
+                "promised": {
+                    str(home): left
+                    for home in machine.tenure.warden.books
+                    if (left := machine.tenure.warden.left(now, home)[0]) != NOBODY
+                },
+                "counts": dict(machine.tenure.counts),
+            }
+        return {
+            "name": self._name,
+            "number": machine.me,
+            "configured": machine.size,
+            "version": machine.plan.version,
+            "versions": sorted(set(machine.others.values())),
+            "quotas": quotas,
+            "tenure": tenure,
+            "counts": dict(machine.counts),
+        }
--- a/slipbay/quota/plan.py
+++ b/slipbay/quota/plan.py
@@ -60,18 +60,26 @@
 
 def check(plan: Plan, tenants: Sequence[str], classes: Sequence[str]) -> Plan:
     """Raises ``ConfigError`` with key and reason for a plan that cannot be used."""
+
     def want(good: bool, key: str, text: str) -> None:
         if not good:
             raise ConfigError(f"{key}: {text}")
 
     want(0 <= plan.version < 2**16, "version", f"want 0 to {2**16 - 1}; got {plan.version}")
-    want(LEAST_TERM_MS <= plan.term_ms <= MOST_TERM_MS, "term_ms",
-         f"want {LEAST_TERM_MS} to {MOST_TERM_MS}; got {plan.term_ms}")
-    want(plan.term_ms <= plan.longest_ms <= MOST_TERM_MS, "longest_ms",
-         f"want term_ms ({plan.term_ms}) to {MOST_TERM_MS}, for which a new life waits for what "
-         f"an earlier one lent; got {plan.longest_ms}")
-    want(0.01 <= plan.reserve <= 1, "reserve",
-         f"want 0.01 to 1, as a part of each quota; got {plan.reserve:g}")
+    want(
+        LEAST_TERM_MS <= plan.term_ms <= MOST_TERM_MS,
+        "term_ms",
+        f"want {LEAST_TERM_MS} to {MOST_TERM_MS}; got {plan.term_ms}",
+    )
+    want(
+        plan.term_ms <= plan.longest_ms <= MOST_TERM_MS,
+        "longest_ms",
+        f"want term_ms ({plan.term_ms}) to {MOST_TERM_MS}, for which a new life waits for what "
+        f"an earlier one lent; got {plan.longest_ms}",
+    )
+    want(
+        0.01 <= plan.reserve <= 1, "reserve", f"want 0.01 to 1, as a part of each quota; got {plan.reserve:g}"
+    )
     want(plan.holders >= 1, "holders", f"want 1 or more; got {plan.holders}")
     want(0 <= plan.wardens <= 64, "wardens", f"want 0 to 64; got {plan.wardens}")
     want(100 <= plan.bytes_per_s <= 1000, "bytes_per_s", f"want 100 to 1000; got {plan.bytes_per_s}")
@@ -80,8 +88,11 @@
         path = f"quotas[{number}]"
         want(0 < len(quota.name) <= 64, f"{path}.name", "want 1 to 64 characters")
         other = keys.setdefault(key_of(quota.name), quota.name)
-        want(list(keys.values()).count(quota.name) == 1 and len(keys) == number + 1, f"{path}.name",
-             f"{quota.name!r} cannot be told from {other!r}")
+        want(
+            list(keys.values()).count(quota.name) == 1 and len(keys) == number + 1,
+            f"{path}.name",
+            f"{quota.name!r} cannot be told from {other!r}",
+        )
         want(0 < quota.rate <= 1e6, f"{path}.rate", f"want above 0, at most 1e6; got {quota.rate:g}")
         want(1 <= quota.burst <= 1e6, f"{path}.burst", f"want 1 to 1e6; got {quota.burst:g}")
         want(1 <= quota.soft <= 100, f"{path}.soft", f"want 1 to 100; got {quota.soft:g}")
@@ -90,13 +101,22 @@
             for name in names:
                 want(name in known, f"{path}.{what}", f"{name!r} is none of {', '.join(known)}")
         for name, part in quota.parts.items():
-            want((name in classes) != (name in tenants), f"{path}.parts.{name}",
-                 "want the name of a class or of a tenant")
+            want(
+                (name in classes) != (name in tenants),
+                f"{path}.parts.{name}",
+                "want the name of a class or of a tenant",
+            )
             want(0 < part <= 1, f"{path}.parts.{name}", f"want above 0, at most 1; got {part:g}")
-        want(len({name in classes for name in quota.parts}) <= 1, f"{path}.parts",
-             "want names of classes or of tenants, not of both")
-        want(sum(quota.parts.values()) <= 1 + 1e-9, f"{path}.parts",
-             f"want at most 1 together; got {sum(quota.parts.values()):g}")
+        want(
+            len({name in classes for name in quota.parts}) <= 1,
+            f"{path}.parts",
+            "want names of classes or of tenants, not of both",
+        )
+        want(
+            sum(quota.parts.values()) <= 1 + 1e-9,
+            f"{path}.parts",
+            f"want at most 1 together; got {sum(quota.parts.values()):g}",
+        )
     return plan
 
 
@@ -106,11 +126,14 @@
         raise ConfigError(f"version: want above {old.version}, which is in use; got {new.version}")
     for key in ("reserve", "holders", "wardens"):
         if getattr(new, key) != getattr(old, key):
-            raise ConfigError(f"{key}: want {getattr(old, key):g} as long as any router runs with it: "
-                              f"parts of two divisions may be more than the whole; got {getattr(new, key):g}")
+            raise ConfigError(
+                f"{key}: want {getattr(old, key):g} as long as any router runs with it: "
+                f"parts of two divisions may be more than the whole; got {getattr(new, key):g}"
+            )
     if new.longest_ms < old.term_ms:
-        raise ConfigError(f"longest_ms: want at least {old.term_ms}, for which shares are lent now; got "
-                          f"{new.longest_ms}")
+        raise ConfigError(
+            f"longest_ms: want at least {old.term_ms}, for which shares are lent now; got {new.longest_ms}"
+        )
     return new
 
 
@@ -128,29 +151,38 @@
 def explain(plan: Plan, routers: int) -> str:
     """The plan's promises in words."""
     wait = wait_after_start(plan.longest_ms * 1000, CLOCKS) / 1e6
-    lines = [f"plan {plan.version}: {len(plan.quotas)} quotas over {routers} routers; {plan.reserve:g} of "
-             f"each is a standing reserve of all, the rest is held by {min(routers, plan.holders)} and lent "
-             f"for {plan.term_ms / 1000:g} s"]
+    lines = [
+        f"plan {plan.version}: {len(plan.quotas)} quotas over {routers} routers; {plan.reserve:g} of "
+        f"each is a standing reserve of all, the rest is held by {min(routers, plan.holders)} and lent "
+        f"for {plan.term_ms / 1000:g} s"
+    ]
     if plan.wardens:
         most = max(len(group_of(number, routers, plan.wardens)) for number in range(routers))
         wait = wait_after_start(tenure_us(plan.longest_ms * 1000), CLOCKS) / 1e6
-        lines += [f"a router's part of the rest is used and lent by whom a majority of its {most} wardens "
-                  f"promised it, for {tenure_us(plan.term_ms * 1000) / 1e6:g} s at a time; without one only "
-                  "reserves go on",
-                  f"a router that starts uses its reserve alone until its part is promised to it: at once, "
-                  f"or when what its last life was promised has ended; at most {wait:.2f} s"]
+        lines += [
+            f"a router's part of the rest is used and lent by whom a majority of its {most} wardens "
+            f"promised it, for {tenure_us(plan.term_ms * 1000) / 1e6:g} s at a time; without one only "
+            "reserves go on",
+            f"a router that starts uses its reserve alone until its part is promised to it: at once, "
+            f"or when what its last life was promised has ended; at most {wait:.2f} s",
+        ]
     else:
         lines.append(f"a router that starts uses its reserve alone, and lends nothing, for {wait:.2f} s")
     for quota in plan.quotas:
         kind = "hard" if quota.soft == 1 else f"soft, at most {quota.soft:g} times"
         over = excess(plan, quota, routers)
-        lines.append(f"{quota.name}: {kind}; in any t seconds at most {quota.soft * quota.burst:g} + "
-                     f"{quota.soft * quota.rate:g} x t + {over:.2f} requests")
+        lines.append(
+            f"{quota.name}: {kind}; in any t seconds at most {quota.soft * quota.burst:g} + "
+            f"{quota.soft * quota.rate:g} x t + {over:.2f} requests"
+        )
         part = quota.burst * (EVEN_BURST + (1 - EVEN_BURST) * plan.reserve) / routers
         if quota.exact and part < 1:
-            lines.append("  a router that has only its reserve admits nothing: of the burst that is "
-                         f"{part:.2f}")
+            lines.append(
+                f"  a router that has only its reserve admits nothing: of the burst that is {part:.2f}"
+            )
         if quota.open:
-            lines.append(f"  open: a router takes none while its share of {quota.open}, and at least 1, is "
-                         "open there; shares that move leave open what is open")
+            lines.append(
+                f"  open: a router takes none while its share of {quota.open}, and at least 1, is "
+                "open there; shares that move leave open what is open"
+            )
     return "\n".join(lines)
--- a/slipbay/quota/settings.py
+++ b/slipbay/quota/settings.py
@@ -17,8 +17,9 @@
 QUOTA_FILE = DEPLOY / "quota.toml"
 
 
-def load_quota(config: Config, environment: Mapping[str, str], old: Plan | None = None,
-               always: bool = False) -> Plan | None:
+def load_quota(
+    config: Config, environment: Mapping[str, str], old: Plan | None = None, always: bool = False
+) -> Plan | None:
     """None if the file is absent or says ``enabled = false``. ``old``: the plan that a running router goes
     by. ``always``: whether it is switched on or not, and for whatever number of routers. Raises
     ``ConfigError``."""
@@ -35,8 +36,9 @@
     plan = convert(data, Plan, path.name)
     try:
         if not always and not config.settings.gateway < len(config.peers):
-            raise ConfigError(f"enabled: peers has {len(config.peers)} addresses, ours is number "
-                              f"{config.settings.gateway}")
+            raise ConfigError(
+                f"enabled: peers has {len(config.peers)} addresses, ours is number {config.settings.gateway}"
+            )
         check(plan, config.tenants, config.classes)
         return check_change(old, plan) if old is not None else plan
     except ConfigError as problem:
--- a/slipbay/quota/shares.py
+++ b/slipbay/quota/shares.py
@@ -82,13 +82,15 @@
     def wake(self, now: int) -> None:
         """Nothing that an earlier life lent is held any more."""
         self.wakes = min(self.wakes, now)
-        self.homes = {number: home._replace(begins=min(home.begins, now))
-                      for number, home in self.homes.items()}
+        self.homes = {
+            number: home._replace(begins=min(home.begins, now)) for number, home in self.homes.items()
+        }
 
     def rehome(self, now: int, homes: Mapping[int, Home]) -> None:
         """Homes that are ours by tenure, by the number of their router; none is taken away before it ends."""
-        self.homes = {number: home._replace(begins=max(home.begins, self.begins))
-                      for number, home in homes.items()}
+        self.homes = {
+            number: home._replace(begins=max(home.begins, self.begins)) for number, home in homes.items()
+        }
         self.home = self.reserve + sum(home.amount for home in homes.values())
         if homes:  # whatever earlier lives lent of any of them has ended
             self.wakes = min(self.wakes, max(now, self.begins))
@@ -147,8 +149,11 @@
         elif not later(tag, lent.tag):
             return False
         lent.tag = tag
-        lent.grants = [(min(amount, keep), granted) for amount, granted in lent.grants
-                       if not granted.over(now, self.clocks)]
+        lent.grants = [
+            (min(amount, keep), granted)
+            for amount, granted in lent.grants
+            if not granted.over(now, self.clocks)
+        ]
         return True
 
     def lend(self, now: int, borrower: tuple[int, int], amount: int, length: int) -> None:
@@ -164,8 +169,15 @@
 
     def back(self, now: int) -> int:
         """When all that is lent has surely ended."""
-        return max((granted.granted + self.clocks.surely(granted.length) for lent in self.lent.values()
-                    for amount, granted in lent.grants if amount), default=now)
+        return max(
+            (
+                granted.granted + self.clocks.surely(granted.length)
+                for lent in self.lent.values()
+                for amount, granted in lent.grants
+                if amount
+            ),
+            default=now,
+        )
 
     def forget(self, now: int) -> None:
         """Ended loans go, and borrowers of whom nothing is out. Asks older than a term say nothing new: one
--- a/slipbay/quota/tenure.py
+++ b/slipbay/quota/tenure.py
@@ -34,8 +34,11 @@
     with numbers that are dealt to zones in turn."""
     groups = max(1, size // wardens)
     shift = next(shift for shift in range(groups) if gcd(groups - shift, 30) == 1)
-    return [n for n in range(size)
-            if (n + shift * (n // groups) - number - shift * (number // groups)) % groups == 0]
+    return [
+        n
+        for n in range(size)
+        if (n + shift * (n // groups) - number - shift * (number // groups)) % groups == 0
+    ]
 
 
 def votes(home: int, warden: int, group: Sequence[int]) -> int:
@@ -293,8 +296,9 @@
 
     def _say(self, sort: Sort, tag: int, places: Sequence[Place]) -> bytes:
         self.counts[f"said {sort.name.lower()}"] += 1
-        return encode_word(Word(sort, self.version, self.layout, tag, self.length // 1000,
-                                places[:MOST_PLACES]))
+        return encode_word(
+            Word(sort, self.version, self.layout, tag, self.length // 1000, places[:MOST_PLACES])
+        )
 
     def _next_tag(self, now: int) -> int:
         """Rises with the time, so that a new life's are later than the old one's."""
@@ -315,8 +319,11 @@
             self.holder.shorten(home, now + span_ms * 1000)
             for warden in self.group:  # all, so that none takes it over at once
                 told.setdefault(warden, []).append(Place(home, 0, span_ms))
-        return [(warden, self._say(Sort.SHORTEN, tag, places))
-                for warden, places in told.items() if warden != self.me]
+        return [
+            (warden, self._say(Sort.SHORTEN, tag, places))
+            for warden, places in told.items()
+            if warden != self.me
+        ]
 
     def wake(self, now: int) -> None:
         """Nothing that an earlier life of ours promised is held any more; others wake now, too."""
@@ -350,8 +357,11 @@
             self.given_back.add(home)
         self._quiet[home] = max(self._quiet[home], now + self.length)
         self.warden.leave(now, home, (self.me, SELF), tag)
-        return [(warden, self._say(Sort.LEAVE, tag, [Place(home, 0, 0)]))
-                for warden in wardens if warden != self.me]
+        return [
+            (warden, self._say(Sort.LEAVE, tag, [Place(home, 0, 0)]))
+            for warden in wardens
+            if warden != self.me
+        ]
 
     def _take_over(self, now: int) -> list[Send]:
         """A home that nobody has. A warden that had promised it knows that it has ended; others ask its owner
@@ -390,8 +400,12 @@
         if not wardens or self.places.get(home, (0, 0))[1] > now:
             return []
         self._turn += 1
-        return [(wardens[self._turn % len(wardens)], self._say(
-            Sort.WHERE, self._next_tag(now), [Place(home, 0, 0)]))]
+        return [
+            (
+                wardens[self._turn % len(wardens)],
+                self._say(Sort.WHERE, self._next_tag(now), [Place(home, 0, 0)]),
+            )
+        ]
 
     def _rounds(self, now: int) -> list[Send]:
         """Ask for all homes together, of a majority; if it falls short, of all others too."""
@@ -410,14 +424,17 @@
             for warden, asked in self.holder.asked.items():
                 if asked.at >= self._began and warden not in self._denied | self.unsaid:
                     self._mute.setdefault(warden, now)
-            done = {warden for warden in self.group if all(
-                self._asked_at(home, warden) >= self._began for home in wants)}
+            done = {
+                warden
+                for warden in self.group
+                if all(self._asked_at(home, warden) >= self._began for home in wants)
+            }
             targets = [n for n in self.group if n not in done and n not in self._denied and n != self.me]
             lively = [n for n in targets if n not in self._mute]
             targets = lively if lively and len(done) + len(lively) >= majority(self.group) else targets
             if self._crowded:  # asking all would leave room for none
                 got = min(sum(votes(home, n, self.group) for n in done) for home in wants)
-                targets = targets[:max(1, majority(self.group) - got)]
+                targets = targets[: max(1, majority(self.group) - got)]
             self._failed += 1
             self._again = max(self._again, now + min(self.length // 4, RETRY_US * self._failed))
         elif self._step == 2 and now >= self._again:
@@ -435,8 +452,12 @@
         """Ask ourselves and others for homes."""
         tag = self._next_tag(now)
         self.holder.ask(now, self.me, tag)
-        self.holder.promised(self.me, tag, [home for home in wants if self.warden.hold(
-            now, home, (self.me, SELF), tag, self.length)], self.length)
+        self.holder.promised(
+            self.me,
+            tag,
+            [home for home in wants if self.warden.hold(now, home, (self.me, SELF), tag, self.length)],
+            self.length,
+        )
         sends = []
         for warden in wardens:
             self.holder.ask(now, warden, tag)
@@ -448,11 +469,16 @@
         self._mute = {n: since for n, since in self._mute.items() if now - since < 3 * self.length}
         place, count = self.group.index(self.me), len(self.group)
         order = [self.group[(place + n) % count] for n in range(1, count)]
-        order.sort(key=lambda n: (n in self._mute, now - self._alive.get(n, 0) > self.length,
-                                  min(self._asked_at(home, n) for home in wants) == 0))
+        order.sort(
+            key=lambda n: (
+                n in self._mute,
+                now - self._alive.get(n, 0) > self.length,
+                min(self._asked_at(home, n) for home in wants) == 0,
+            )
+        )
         own = min(votes(home, self.me, self.group) for home in wants) if now >= self.warden.wakes else 0
         fresh = {n for n in order if all(now - self._asked_at(home, n) < self.length // 4 for home in wants)}
-        return [n for n in order if n not in fresh][:max(0, majority(self.group) - own - len(fresh))]
+        return [n for n in order if n not in fresh][: max(0, majority(self.group) - own - len(fresh))]
 
     def stands(self, now: int, to: int, body: bytes) -> bool:
         """Whether words that found no room are still worth saying."""
@@ -462,7 +488,8 @@
         self._roomy = now + 2 * self.length
         asked = self.holder.asked.get(to)
         return word.sort is not Sort.RECALL and (
-            word.sort is not Sort.HOLD or asked is not None and asked.tag == word.tag)
+            word.sort is not Sort.HOLD or asked is not None and asked.tag == word.tag
+        )
 
     def _asked_at(self, home: int, warden: int) -> int:
         """When the ask left that a warden answered with a promise; 0: it never did."""
--- a/slipbay/rig/faults.py
+++ b/slipbay/rig/faults.py
@@ -146,7 +146,8 @@
                     for life in router.signal(signal.SIGTERM, action.lives):
                         if code := await life.ended():
                             self.parts.verdict.faults.append(
-                                f"router {router.number} ended with {code} after SIGTERM")
+                                f"router {router.number} ended with {code} after SIGTERM"
+                            )
 
     async def _kill(self, router: RouterProcess, lives: str = "all") -> None:
         for life in router.signal(signal.SIGKILL, lives):
--- a/slipbay/rig/journal.py
+++ b/slipbay/rig/journal.py
@@ -31,7 +31,8 @@
     async def start(self) -> None:
         for number in range(self._routers):
             server, port = await serve(
-                lambda reader, writer, n=number: quietly(self._serve(n, reader, writer)))  # type: ignore[misc]
+                lambda reader, writer, n=number: quietly(self._serve(n, reader, writer))  # type: ignore[misc]
+            )
             self._servers.append(server)
             self.ports.append(port)
         self._beating = asyncio.get_running_loop().create_task(self._beat())
--- a/slipbay/rig/judge.py
+++ b/slipbay/rig/judge.py
@@ -57,8 +57,9 @@
 
     def worst(self, verdict: Verdict) -> float:
         """The most by which any window surely passed ``rate x t``."""
-        return worst([span for span in verdict.spans(self.tenants, self.classes) if span[0] >= self.since],
-                     self.rate)
+        return worst(
+            [span for span in verdict.spans(self.tenants, self.classes) if span[0] >= self.since], self.rate
+        )
 
 
 @dataclass
@@ -138,11 +139,20 @@
         return found
 
     def as_json(self) -> dict[str, Any]:
-        return {"good": self.good, "faults": self.faults, "timeline": self.timeline,
-                "outcomes": dict(sorted(self.outcomes.items())), "stretches": self.stretches,
-                "seconds": self.seconds, "most_threads": self.most_threads, "extras": self.extras,
-                "quotas": self.quotas, "fullest_second": self.fullest, "settled_s": self.settled_s,
-                "starved": round(self.starved, 3)}
+        return {
+            "good": self.good,
+            "faults": self.faults,
+            "timeline": self.timeline,
+            "outcomes": dict(sorted(self.outcomes.items())),
+            "stretches": self.stretches,
+            "seconds": self.seconds,
+            "most_threads": self.most_threads,
+            "extras": self.extras,
+            "quotas": self.quotas,
+            "fullest_second": self.fullest,
+            "settled_s": self.settled_s,
+            "starved": round(self.starved, 3),
+        }
 
 
 def gathered(book: Book, query: str, survey: ScatterForm, result: dict[str, Any]) -> list[str]:
@@ -183,6 +193,7 @@
 def bounds(script: Script) -> list[Bound]:
     """What a script's plans of quotas promise: over all of the play that of the largest, and once all
     routers were told of the last plan what that allows. Plans that routers refuse count for nothing."""
+
     def plan(text: str) -> Plan | None:
         table = tomllib.loads(text)
         return convert(table, Plan, "quota") if table.pop("enabled", False) else None
@@ -215,9 +226,14 @@
     """Of the largest of some plans."""
     held = [(plan, quota) for plan in plans for quota in plan.quotas if quota.name == name]
     quota = held[-1][1]
-    return Bound(name, tuple(quota.tenants), tuple(quota.classes),
-                 max(quota.rate * quota.soft for _, quota in held),
-                 max(quota.burst * quota.soft + excess(plan, quota, routers) for plan, quota in held), since)
+    return Bound(
+        name,
+        tuple(quota.tenants),
+        tuple(quota.classes),
+        max(quota.rate * quota.soft for _, quota in held),
+        max(quota.burst * quota.soft + excess(plan, quota, routers) for plan, quota in held),
+        since,
+    )
 
 
 def judge(verdict: Verdict, lives: int, bounds: Sequence[Bound] = (), cancels: bool = True) -> None:
@@ -225,25 +241,38 @@
     ``Verdict.unwanted``."""
     for bound in bounds:
         found = bound.worst(verdict)
-        verdict.quotas.append({"quota": bound.quota, "since": bound.since, "rate": bound.rate,
-                               "bound": round(bound.most, 2), "worst": round(found, 2)})
+        verdict.quotas.append(
+            {
+                "quota": bound.quota,
+                "since": bound.since,
+                "rate": bound.rate,
+                "bound": round(bound.most, 2),
+                "worst": round(found, 2),
+            }
+        )
         if found > bound.most:
-            verdict.faults.append(f"quota: {bound.quota} passed {bound.rate:g} x t by {found:.1f} from "
-                                  f"{bound.since:g} s on, bound {bound.most:.1f}")
+            verdict.faults.append(
+                f"quota: {bound.quota} passed {bound.rate:g} x t by {found:.1f} from "
+                f"{bound.since:g} s on, bound {bound.most:.1f}"
+            )
     book = verdict.book
     verdict.faults += book.faults
     verdict.most_threads = book.most_threads
     verdict.extras = sum(count - 1 for count in book.runs.values() if count > 1)
-    taken = sum(answer.outcome != "unreached" and answer.service_class != SURVEY
-                for answer in verdict.answers) + len(book.parts)
+    taken = sum(
+        answer.outcome != "unreached" and answer.service_class != SURVEY for answer in verdict.answers
+    ) + len(book.parts)
     verdict.faults += verdict.unwanted(cancels)[:10]
     if verdict.extras > 1.15 * (5 * lives + 0.2 * taken) + lives:
         verdict.faults.append(f"ration: {verdict.extras} further attempts for {taken} requests")
     last = {answer.txn: answer for answer in verdict.answers}  # a repeat may run what was refused before
     verdict.faults += [
-        f"refused though it ran: {answer.txn}" for answer in verdict.answers
-        if answer.outcome == "refused" and answer.service_class == "ticket-load"
-        and (answer.runs or last[answer.txn] is answer and book.runs[answer.txn])]
+        f"refused though it ran: {answer.txn}"
+        for answer in verdict.answers
+        if answer.outcome == "refused"
+        and answer.service_class == "ticket-load"
+        and (answer.runs or last[answer.txn] is answer and book.runs[answer.txn])
+    ]
     kept: dict[str, str] = {}
     for answer in verdict.answers:
         if answer.outcome == "served" and answer.service_class == "ticket-load" and not book.runs[answer.txn]:
--- a/slipbay/rig/load.py
+++ b/slipbay/rig/load.py
@@ -25,8 +25,14 @@
     """Each request has a connection of its own, to a router that is up: one answer, whole and in time,
     unless its router dies."""
 
-    def __init__(self, script: Script, routers: list[RouterProcess], verdict: Verdict, random: Random,
-                 held_up: Callable[[float], float]) -> None:
+    def __init__(
+        self,
+        script: Script,
+        routers: list[RouterProcess],
+        verdict: Verdict,
+        random: Random,
+        held_up: Callable[[float], float],
+    ) -> None:
         """``held_up``: for how long the machine kept us from running since a moment of the loop's clock."""
         self.script, self.routers, self.verdict, self.random = script, routers, verdict, random
         self._held_up = held_up
@@ -41,9 +47,17 @@
 
     def _wishes(self) -> Iterator[tuple[float, Tenant, str]]:
         """When who wants what, by chance at the rates of the script."""
-        sources = [(tenant, name, rate) for tenant in self.script.load.sources for name, rate in (
-            ("lookup", tenant.lookups), ("report", tenant.reports), ("ticket-load", tenant.loads),
-            (SURVEY, tenant.surveys)) if rate]
+        sources = [
+            (tenant, name, rate)
+            for tenant in self.script.load.sources
+            for name, rate in (
+                ("lookup", tenant.lookups),
+                ("report", tenant.reports),
+                ("ticket-load", tenant.loads),
+                (SURVEY, tenant.surveys),
+            )
+            if rate
+        ]
         total, at = sum(rate for *_, rate in sources), 0.0
         while total and (at := at + self.random.expovariate(total)) < self.script.seconds:
             tenant, name, _ = self.random.choices(sources, [rate for *_, rate in sources])[0]
@@ -114,8 +128,20 @@
             outcome, later = await self._exchange(life, wish, txn, work_ms)
             if outcome != "unsaid":
                 break
-        answer = Answer(txn, name, wish.tenant, life.router.number, life.number, asked, self._now(), outcome,
-                        later, wish.tries > 1, self.verdict.book.runs[txn], self._present.pop(txn, ()))
+        answer = Answer(
+            txn,
+            name,
+            wish.tenant,
+            life.router.number,
+            life.number,
+            asked,
+            self._now(),
+            outcome,
+            later,
+            wish.tries > 1,
+            self.verdict.book.runs[txn],
+            self._present.pop(txn, ()),
+        )
         self.verdict.answers.append(answer)
         if life.ready:  # nobody has ended or stopped it: it owes a whole answer
             if outcome == "unreached":
@@ -131,9 +157,14 @@
         if name == SURVEY and self._survey is not None:
             statement += f" FROM sales_{self._survey.mark}.orders -- of {txn}"
             work *= len(self._survey.groups)
-        params = {"txn": txn, "limit": int(limit_s * 1000), "cpu": float(work), "team": wish.tenant,
-                  **({"second": 1} if wish.tries > 1 else {}),
-                  "data": base64.b64encode(statement.encode()).decode()}
+        params = {
+            "txn": txn,
+            "limit": int(limit_s * 1000),
+            "cpu": float(work),
+            "team": wish.tenant,
+            **({"second": 1} if wish.tries > 1 else {}),
+            "data": base64.b64encode(statement.encode()).decode(),
+        }
         message = {"jsonrpc": "2.0", "id": 1, "method": name, "params": params}
         try:
             reader, writer = await asyncio.open_connection(HOST, life.port)
@@ -149,8 +180,9 @@
                 return ("unsaid" if asked - began > FIRST_S else "cut"), None
             took = self._now() - began
             if took > allowed:
-                self.verdict.faults.append(f"late: {txn} ({name}) after {took:.2f} s at "
-                                           f"n{life.router.number}, allowed {allowed:.2f}")
+                self.verdict.faults.append(
+                    f"late: {txn} ({name}) after {took:.2f} s at n{life.router.number}, allowed {allowed:.2f}"
+                )
             found = self._read(txn, name, json.loads(line))
             if await self._more(reader):
                 self.verdict.faults.append(f"answered twice: {txn}")
--- a/slipbay/rig/machine.py
+++ b/slipbay/rig/machine.py
@@ -46,7 +46,7 @@
 
     def _came(self, itself: socket.socket) -> None:
         """What the system's network holds back is late like what we do not come to."""
-        left, = TIME.unpack(itself.recv(TIME.size))
+        (left,) = TIME.unpack(itself.recv(TIME.size))
         self._late += max(0.0, asyncio.get_running_loop().time() - left - 0.01)
         while self._flying and self._flying[0] <= left:
             self._flying.popleft()
--- a/slipbay/rig/play.py
+++ b/slipbay/rig/play.py
@@ -64,31 +64,48 @@
         self.script, self.random = script, Random(script.seed)
         self.verdict, self.marks = Verdict(survey=script.survey), Marks()
         net, self._net = own_net()
-        self.real: list[Address] = [(f"127.{net}.{n // 250}.{n % 250 + 1}", PEER_PORT)
-                                    for n in range(script.routers)]
+        self.real: list[Address] = [
+            (f"127.{net}.{n // 250}.{n % 250 + 1}", PEER_PORT) for n in range(script.routers)
+        ]
         self.links = Links(self.real, self.random, self.marks)
         self.links.twins = {n: (f"127.{net}.1.{n + 1}", PEER_PORT) for n in range(script.routers)}
         self.engines = [RigEngine(f"s-{n}", self.verdict.book, self.marks) for n in range(script.engines)]
-        self.machine = Machine(lambda: [life.process.pid for router in self.routers for life in router.lives
-                                        if life.process is not None and life.alive])
+        self.machine = Machine(
+            lambda: [
+                life.process.pid
+                for router in self.routers
+                for life in router.lives
+                if life.process is not None and life.alive
+            ]
+        )
         self.verdict.book.held_up = self.machine.held_up
         if script.channel and (form := tomllib.loads(script.channel)).get("enabled"):
             self.links.budget = form.get("rate", RATE)
         self.journal = RigJournal(self.marks, script.routers)
         self.wires: Wires | None = None
         if script.wired:
-            self.wires = Wires(net, script.routers, script.engines,
-                               lambda engine: (HOST, self.engines[engine].port),
-                               lambda router: (HOST, self.journal.ports[router]))
+            self.wires = Wires(
+                net,
+                script.routers,
+                script.engines,
+                lambda engine: (HOST, self.engines[engine].port),
+                lambda router: (HOST, self.journal.ports[router]),
+            )
         self.routers = [
-            RouterProcess(n, lambda seat, n=n: self._config(n, seat), folder,  # type: ignore[misc]
-                          {**script.files, "fleet": "" if n in script.without_view else script.fleet},
-                          self._came_up)
-            for n in range(script.routers)]
+            RouterProcess(
+                n,
+                lambda seat, n=n: self._config(n, seat),  # type: ignore[misc]
+                folder,
+                {**script.files, "fleet": "" if n in script.without_view else script.fleet},
+                self._came_up,
+            )
+            for n in range(script.routers)
+        ]
         for number in script.jumping:
             self.routers[number].jumps = True
-        self.faults = Faults(Parts(
-            self.routers, self.engines, self.links, self.wires, script, self.verdict, self._tell))
+        self.faults = Faults(
+            Parts(self.routers, self.engines, self.links, self.wires, script, self.verdict, self._tell)
+        )
         self.ready: list[float] = []  # when routers came to listen
         self.began = 0.0
 
@@ -112,19 +129,30 @@
         journal = (HOST, self.journal.ports[number])
         pos = self.journal.pos
         return {
-            "name": f"n{number}", "listen": f"{HOST}:0", "seed": f"{self.random.randrange(2**60):x}",
-            "limits": {"cores": 1, "memory_mb": 192, "sockets": 512}, "peer_listen": joined(own),
-            "peers": self.links.peers(number, own), "peers_all": self.links.everyone(number),
+            "name": f"n{number}",
+            "listen": f"{HOST}:0",
+            "seed": f"{self.random.randrange(2**60):x}",
+            "limits": {"cores": 1, "memory_mb": 192, "sockets": 512},
+            "peer_listen": joined(own),
+            "peers": self.links.peers(number, own),
+            "peers_all": self.links.everyone(number),
             "journal": joined(self.wires[number, None].address if self.wires is not None else journal),
-            "settings": settings(number, self.script.routers, self.script.zones,
-                                 [tenant.name for tenant in self.script.load.sources],
-                                 bool(self.script.gather)),
-            "known": {"pos": pos, "entries": [event(pos, *self._hosts(number), whole=True)]}}
+            "settings": settings(
+                number,
+                self.script.routers,
+                self.script.zones,
+                [tenant.name for tenant in self.script.load.sources],
+                bool(self.script.gather),
+            ),
+            "known": {"pos": pos, "entries": [event(pos, *self._hosts(number), whole=True)]},
+        }
 
     def _tell(self, numbers: tuple[int, ...]) -> None:
         """The journal tells how these engines are now."""
-        told = {router: [hosts[n] for n in numbers]
-                for router, hosts in enumerate(map(self._hosts, range(self.script.routers)))}
+        told = {
+            router: [hosts[n] for n in numbers]
+            for router, hosts in enumerate(map(self._hosts, range(self.script.routers)))
+        }
         self.journal.tell(told.__getitem__)
 
     def _came_up(self, life: Life) -> None:
@@ -151,8 +179,7 @@
             self.began, waited = self.loop.time(), waited_s(os.getpid())
             self.verdict.began = self.began
             self.say(f"{len(self.routers)} routers are up")
-            clients = Clients(self.script, self.routers, self.verdict, self.random,
-                              self.machine.held_up)
+            clients = Clients(self.script, self.routers, self.verdict, self.random, self.machine.held_up)
             await asyncio.gather(self.faults.run(self.script.do, self.began), clients.run(self.began))
             self.verdict.starved = (waited_s(os.getpid()) - waited) / (self.loop.time() - self.began)
             await self._come_up()
@@ -163,15 +190,22 @@
             watching.cancel()
         self.verdict.fullest = self.links.fullest
         self.verdict.faults += self.links.over[:5]
-        judge(self.verdict, sum(len(router.lives) for router in self.routers), bounds(self.script),
-              cancels=not self.script.wired)
+        judge(
+            self.verdict,
+            sum(len(router.lives) for router in self.routers),
+            bounds(self.script),
+            cancels=not self.script.wired,
+        )
         for row in self.verdict.quotas:
-            self.say(f"quota {row['quota']} from {row['since']:g} s on: worst window {row['worst']:g} beyond "
-                     f"{row['rate']:g} x t, bound {row['bound']:g}")
+            self.say(
+                f"quota {row['quota']} from {row['since']:g} s on: worst window {row['worst']:g} beyond "
+                f"{row['rate']:g} x t, bound {row['bound']:g}"
+            )
         service = Service(self.verdict.wishes)
         self.verdict.seconds = service.by_second()
         self.verdict.stretches = report.stretches(
-            service, self.marks, self.faults.done, self.ready, self.began, self.script.seconds)
+            service, self.marks, self.faults.done, self.ready, self.began, self.script.seconds
+        )
         return self.verdict
 
     async def _come_up(self) -> None:
@@ -195,7 +229,8 @@
             if code not in (0, -signal.SIGKILL):
                 said = life.router.lines[-1:] if code > 0 else []  # by one that can't start, the reason
                 self.verdict.faults.append(
-                    ": ".join([f"router {life.router.number} ended with {code}", *said]))
+                    ": ".join([f"router {life.router.number} ended with {code}", *said])
+                )
         for engine in self.engines:
             engine.end()
         if self.wires is not None:
@@ -212,6 +247,7 @@
     async def _settle(self) -> None:
         """Ask every router for its view until all are right."""
         from slipbay.fleet.asking import NoAnswer, ask
+
         began = self.loop.time()
         living = [router for router in self.routers if router.alive]
         asked = [router for router in living if router.number not in self.script.without_view]
--- a/slipbay/rig/process.py
+++ b/slipbay/rig/process.py
@@ -33,7 +33,8 @@
 
     async def begin(self, command: list[str], environment: dict[str, str]) -> None:
         self.process = await asyncio.create_subprocess_exec(
-            *command, stderr=asyncio.subprocess.PIPE, env={**os.environ, **environment})
+            *command, stderr=asyncio.subprocess.PIPE, env={**os.environ, **environment}
+        )
         self._reading = asyncio.get_running_loop().create_task(self._read(self.process))
 
     async def _read(self, process: asyncio.subprocess.Process) -> None:
@@ -101,8 +102,14 @@
 
     program: tuple[str, ...] = ("-m", "slipbay")  # arguments of the interpreter
 
-    def __init__(self, number: int, config: Callable[[int], dict[str, Any]], folder: Path,
-                 files: dict[str, str], came_up: Callable[[Life], None]) -> None:
+    def __init__(
+        self,
+        number: int,
+        config: Callable[[int], dict[str, Any]],
+        folder: Path,
+        files: dict[str, str],
+        came_up: Callable[[Life], None],
+    ) -> None:
         """``files``: texts of operator files by name. The word ``{own}`` in one stands for a folder of this
         router's own that outlives it. A second life beside the first has seat 1, and all of its own."""
         self.number, self._config, self._folder, self._files = number, config, folder, files
@@ -127,10 +134,15 @@
         clock = ("-m", "slipbay.rig.skewed", str(self.clock_ms)) if skewed else ()
         if self.jumps:
             self.jump(0.0)
-        await life.begin([sys.executable, *clock, *self.program], {
-            "GW_CONFIG": str(file), "SLIPBAY_LOG": "console",
-            **({"RIG_JUMP": str(self._jump_file)} if self.jumps else {}),
-            **{f"SLIPBAY_{name.upper()}": str(path) for name, path in paths.items()}})
+        await life.begin(
+            [sys.executable, *clock, *self.program],
+            {
+                "GW_CONFIG": str(file),
+                "SLIPBAY_LOG": "console",
+                **({"RIG_JUMP": str(self._jump_file)} if self.jumps else {}),
+                **{f"SLIPBAY_{name.upper()}": str(path) for name, path in paths.items()},
+            },
+        )
         return life
 
     @property
--- a/slipbay/rig/relays.py
+++ b/slipbay/rig/relays.py
@@ -80,8 +80,10 @@
 
     def peers(self, near: int, own: Address | None = None) -> list[str]:
         """The addresses that a router is told, its own among them; ``own``: where it listens if elsewhere."""
-        addresses = [(own or self.real[near]) if n == near else self.relays[near, n].address
-                     for n in range(len(self.real))]
+        addresses = [
+            (own or self.real[near]) if n == near else self.relays[near, n].address
+            for n in range(len(self.real))
+        ]
         return [f"{host}:{port}" for host, port in addresses]
 
     def everyone(self, near: int) -> str:
@@ -133,7 +135,7 @@
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
             for number, (near, far, data) in enumerate(self._kept):
                 if number % 3 == 2:
-                    data = data[:self.random.randrange(len(data))] + self.random.randbytes(3)
+                    data = data[: self.random.randrange(len(data))] + self.random.randbytes(3)
                 self._deliver(near, far, data)
                 stranger.sendto(data, self.real[far])
 
--- a/slipbay/rig/report.py
+++ b/slipbay/rig/report.py
@@ -105,16 +105,34 @@
         rows: dict[tuple[int, str, str], dict[str, Any]] = {}
         for wish in self._wishes:
             key = int(wish.at), wish.service_class, wish.tenant
-            row = rows.setdefault(key, {"second": key[0], "class": key[1], "tenant": key[2], "asked": 0,
-                                        "in_time": 0, "served": 0, "refused": 0, "failed": 0, "lost": 0})
+            row = rows.setdefault(
+                key,
+                {
+                    "second": key[0],
+                    "class": key[1],
+                    "tenant": key[2],
+                    "asked": 0,
+                    "in_time": 0,
+                    "served": 0,
+                    "refused": 0,
+                    "failed": 0,
+                    "lost": 0,
+                },
+            )
             row["asked"] += 1
             row["in_time"] += wish.in_time
             row[wish.outcome if wish.outcome in row else "lost"] += 1
         return [rows[key] for key in sorted(rows)]
 
 
-def stretches(service: Service, marks: Marks, actions: list[tuple[float, str]], ready: list[float],
-              began: float, seconds: float) -> list[dict[str, Any]]:
+def stretches(
+    service: Service,
+    marks: Marks,
+    actions: list[tuple[float, str]],
+    ready: list[float],
+    began: float,
+    seconds: float,
+) -> list[dict[str, Any]]:
     """The time before the first action, and from each until the next: service, time to full, and peaks.
 
     ``actions``, ``ready`` (when routers came to listen) and ``seconds`` count from ``began``, which is of the
@@ -128,25 +146,34 @@
         until = marked[number + 1][0] if number + 1 < len(marked) else seconds
         full = service.full_after(at, 1.0 if before is None else before, seconds) if number else None
         came = [moment - at for moment in ready if at < moment]
-        rows.append({
-            "at": round(at, 3), "what": what, "in_time": service.share(at, until),
-            "full_service_s": None if full is None else round(full, 3),
-            "first_ready_s": round(min(came), 3) if number and came else None,
-            "cut": service.cut(at, until),
-            "threads": marks.highest(began + at, began + until),
-            **{sort: marks.peak(sort, began + at, began + until) for sort in PEAKS}})
+        rows.append(
+            {
+                "at": round(at, 3),
+                "what": what,
+                "in_time": service.share(at, until),
+                "full_service_s": None if full is None else round(full, 3),
+                "first_ready_s": round(min(came), 3) if number and came else None,
+                "cut": service.cut(at, until),
+                "threads": marks.highest(began + at, began + until),
+                **{sort: marks.peak(sort, began + at, began + until) for sort in PEAKS},
+            }
+        )
     return rows
 
 
 def table(rows: list[dict[str, Any]]) -> list[str]:
     """Stretches for people: peaks are the most in any 100 ms over the fleet."""
+
     def cell(value: float | None, form: str = ".2f") -> str:
         return "-" if value is None else format(value, form)
+
     names = [name.replace("_", " ") for name in PEAKS]
     lines = ["      at  in time  full after  first up  cut  threads  " + "  ".join(names) + "  what"]
     for row in rows:
-        lines.append(f"{row['at']:8.2f}  {cell(row['in_time']):>7}  {cell(row['full_service_s']):>10}  "
-                     f"{cell(row['first_ready_s']):>8}  {row['cut']:>3}  {row['threads']:>7}  "
-                     + "  ".join(f"{row[sort]:>{len(name)}}" for sort, name in zip(PEAKS, names, strict=True))
-                     + f"  {row['what']}")
+        lines.append(
+            f"{row['at']:8.2f}  {cell(row['in_time']):>7}  {cell(row['full_service_s']):>10}  "
+            f"{cell(row['first_ready_s']):>8}  {row['cut']:>3}  {row['threads']:>7}  "
+            + "  ".join(f"{row[sort]:>{len(name)}}" for sort, name in zip(PEAKS, names, strict=True))
+            + f"  {row['what']}"
+        )
     return lines
--- a/slipbay/rig/script.py
+++ b/slipbay/rig/script.py
@@ -17,15 +17,35 @@
 
 WIRE = ("wire", "routers", "engines", "router_zones", "engine_zones")  # absent ones: all
 ACTIONS = {  # what can be done, and with which keys
-    "kill": ("routers", "lives"), "start": ("routers",), "stop": ("routers", "lives"),
-    "go_on": ("routers", "lives"), "term": ("routers", "lives"), "restart": ("routers", "after_s"),
-    "twin": ("routers",), "clock": ("routers", "ms"), "jump": ("routers", "ms"),
+    "kill": ("routers", "lives"),
+    "start": ("routers",),
+    "stop": ("routers", "lives"),
+    "go_on": ("routers", "lives"),
+    "term": ("routers", "lives"),
+    "restart": ("routers", "after_s"),
+    "twin": ("routers",),
+    "clock": ("routers", "ms"),
+    "jump": ("routers", "ms"),
     "reload": ("routers", "file", "text"),
-    "cut": ("from", "to", "one_way"), "heal": (), "loss": ("part",), "double": ("part",), "delay": ("ms",),
-    "replay": (), "drain": ("engines",), "reset": ("engines",), "renew": ("engines",),
-    "cut_wire": WIRE, "heal_wire": WIRE, "stall_wire": (*WIRE, "way"), "delay_wire": (*WIRE, "way", "ms"),
-    "slow": ("engines", "groups", "times"), "stick": ("engines", "groups"),
-    "copy_store": ("routers", "name"), "old_store": ("routers", "name"), "lose_store": ("routers",)}
+    "cut": ("from", "to", "one_way"),
+    "heal": (),
+    "loss": ("part",),
+    "double": ("part",),
+    "delay": ("ms",),
+    "replay": (),
+    "drain": ("engines",),
+    "reset": ("engines",),
+    "renew": ("engines",),
+    "cut_wire": WIRE,
+    "heal_wire": WIRE,
+    "stall_wire": (*WIRE, "way"),
+    "delay_wire": (*WIRE, "way", "ms"),
+    "slow": ("engines", "groups", "times"),
+    "stick": ("engines", "groups"),
+    "copy_store": ("routers", "name"),
+    "old_store": ("routers", "name"),
+    "lose_store": ("routers",),
+}
 NEEDS = ("routers", "engines", "from", "to", "part", "ms", "file", "times")  # keys without a default
 FILES = ("fleet", "channel", "comeback", "quota", "gather", "store")  # operator files that a script may hold
 
@@ -130,12 +150,19 @@
 
     def wires(self, action: Action) -> list[tuple[int, int | None]]:
         """Pairs of router and engine that an action is about, or of router and None for the journal."""
-        routers = [n for n in action.routers or range(self.routers)
-                   if not action.router_zones or n % self.zones in action.router_zones]
+        routers = [
+            n
+            for n in action.routers or range(self.routers)
+            if not action.router_zones or n % self.zones in action.router_zones
+        ]
         if action.wire == "journal":
             return [(n, None) for n in routers]
-        return [(n, engine) for n in routers for engine in action.engines or range(self.engines)
-                if not action.engine_zones or engine % self.zones in action.engine_zones]
+        return [
+            (n, engine)
+            for n in routers
+            for engine in action.engines or range(self.engines)
+            if not action.engine_zones or engine % self.zones in action.engine_zones
+        ]
 
     @property
     def survey(self) -> ScatterForm | None:
@@ -191,17 +218,30 @@
             optional = "wire" in keys and needed in WIRE
             check(needed not in keys or needed in given or optional, f"{key}.{needed}", "this key")
         check(action.at <= script.seconds, f"{key}.at", f"at most seconds ({script.seconds:g})")
-        for part, most in (("routers", script.routers), ("engines", script.engines),
-                           ("router_zones", script.zones), ("engine_zones", script.zones),
-                           ("from", script.routers), ("to", script.routers)):
-            check(all(n < most for n in getattr(action, NAMES.get(part, part))), f"{key}.{part}",
-                  f"numbers from 0 to {most - 1}")
-    places = {"without_view": script.without_view, **{
-        f"load.tenants[{n}].routers": tenant.routers for n, tenant in enumerate(script.load.tenants)}}
+        for part, most in (
+            ("routers", script.routers),
+            ("engines", script.engines),
+            ("router_zones", script.zones),
+            ("engine_zones", script.zones),
+            ("from", script.routers),
+            ("to", script.routers),
+        ):
+            check(
+                all(n < most for n in getattr(action, NAMES.get(part, part))),
+                f"{key}.{part}",
+                f"numbers from 0 to {most - 1}",
+            )
+    places = {
+        "without_view": script.without_view,
+        **{f"load.tenants[{n}].routers": tenant.routers for n, tenant in enumerate(script.load.tenants)},
+    }
     for key, numbers in places.items():
         check(all(n < script.routers for n in numbers), key, f"numbers from 0 to {script.routers - 1}")
-    check(script.survey is not None or not any(tenant.surveys for tenant in script.load.sources),
-          "load.surveys", f"a text of gather that declares {SURVEY}")
+    check(
+        script.survey is not None or not any(tenant.surveys for tenant in script.load.sources),
+        "load.surveys",
+        f"a text of gather that declares {SURVEY}",
+    )
     names = [tenant.name for tenant in script.load.sources]
     check(len(names) == len(set(names)), "load.tenants", "each name once")
     return script
--- a/slipbay/rig/standins.py
+++ b/slipbay/rig/standins.py
@@ -10,8 +10,9 @@
 HOST = "127.0.0.1"
 
 
-async def serve(handler: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]],
-                port: int = 0) -> tuple[asyncio.Server, int]:
+async def serve(
+    handler: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]], port: int = 0
+) -> tuple[asyncio.Server, int]:
     server = await asyncio.start_server(handler, HOST, port)
     return server, server.sockets[0].getsockname()[1]
 
@@ -25,8 +26,16 @@
 
 
 def host(name: str, port: int, state: str = "SERVING", born_ms: int = 0) -> dict[str, Any]:
-    return {"host": name, "dial": f"{HOST}:{port}", "site": "room-a", "class": "std-8", "block": 0,
-            "health": state, "share": 1, "born_ms": born_ms}
+    return {
+        "host": name,
+        "dial": f"{HOST}:{port}",
+        "site": "room-a",
+        "class": "std-8",
+        "block": 0,
+        "health": state,
+        "share": 1,
+        "born_ms": born_ms,
+    }
 
 
 def event(pos: int, *hosts: dict[str, Any], whole: bool = False) -> dict[str, Any]:
@@ -60,8 +69,11 @@
 
 
 def http_answer(status: int, body: bytes = b"", **headers: str) -> bytes:
-    lines = [f"HTTP/1.1 {status} x", f"Content-Length: {len(body)}",
-             *(f"{name.replace('_', '-')}: {value}" for name, value in headers.items())]
+    lines = [
+        f"HTTP/1.1 {status} x",
+        f"Content-Length: {len(body)}",
+        *(f"{name.replace('_', '-')}: {value}" for name, value in headers.items()),
+    ]
     return "\r\n".join((*lines, "", "")).encode() + body
 
 
@@ -94,8 +106,9 @@
             first, *lines = head.decode().rstrip().split("\r\n")
             headers = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines)}
             method, path, _ = first.split(" ")
-            call = HttpCall(method, path, headers,
-                            await reader.readexactly(int(headers.get("content-length", 0))))
+            call = HttpCall(
+                method, path, headers, await reader.readexactly(int(headers.get("content-length", 0)))
+            )
             self.calls.append(call)
             answer = await self.script(call, writer)
             if answer is None:
--- a/slipbay/rig/wires.py
+++ b/slipbay/rig/wires.py
@@ -93,8 +93,9 @@
                     one.close()
                     self._writers.discard(one)
 
-    async def _take(self, way: str, source: asyncio.StreamReader,
-                    queue: asyncio.Queue[tuple[float, bytes]]) -> None:
+    async def _take(
+        self, way: str, source: asyncio.StreamReader, queue: asyncio.Queue[tuple[float, bytes]]
+    ) -> None:
         data = b"-"
         while data:
             try:
@@ -103,8 +104,9 @@
                 data = b""
             await queue.put((asyncio.get_running_loop().time() + self.delay_s[way], data))
 
-    async def _give(self, way: str, queue: asyncio.Queue[tuple[float, bytes]],
-                    sink: asyncio.StreamWriter) -> None:
+    async def _give(
+        self, way: str, queue: asyncio.Queue[tuple[float, bytes]], sink: asyncio.StreamWriter
+    ) -> None:
         loop = asyncio.get_running_loop()
         while True:
             due, data = await queue.get()
@@ -124,8 +126,14 @@
 class Wires:
     """By router and engine; None stands for the journal."""
 
-    def __init__(self, net: int, routers: int, engines: int, engine: Callable[[int], Address],
-                 journal: Callable[[int], Address]) -> None:
+    def __init__(
+        self,
+        net: int,
+        routers: int,
+        engines: int,
+        engine: Callable[[int], Address],
+        journal: Callable[[int], Address],
+    ) -> None:
         """``engine``, ``journal``: where those really are, by engine and by router."""
         self._wires: dict[tuple[int, int | None], Wire] = {}
         for router in range(routers):
--- a/slipbay/run.py
+++ b/slipbay/run.py
@@ -52,17 +52,30 @@
 class Router:
     """All parts of one query router."""
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop,
-                 fleet: FleetConfig | None = None, channel: ChannelConfig | None = None,
-                 comeback: Plan | None = None, quotas: Quotas | None = None,
-                 gather: GatherPlan | None = None) -> None:
+    def __init__(
+        self,
+        config: Config,
+        loop: asyncio.AbstractEventLoop,
+        fleet: FleetConfig | None = None,
+        channel: ChannelConfig | None = None,
+        comeback: Plan | None = None,
+        quotas: Quotas | None = None,
+        gather: GatherPlan | None = None,
+    ) -> None:
         self.config, self._fleet_config, self._channel_config = config, fleet, channel
         self.clock = Clock(loop)
         self.timers = Timers(loop, self.clock)
         self.dialer = Dialer(loop, self.timers)
         decider = Controller(config.settings, config.seed)
-        self.core = Core(loop, self.clock, self.timers, decider, config.settings, config.max_open,
-                         config.limits.request_bytes)
+        self.core = Core(
+            loop,
+            self.clock,
+            self.timers,
+            decider,
+            config.settings,
+            config.max_open,
+            config.limits.request_bytes,
+        )
         sockets = Sockets(config.limits.engine_sockets)
         self.back = HttpBack(config, self.timers, self.dialer, sockets, self.clock.now)
         self.core.backs.append(self.back)
@@ -70,7 +83,8 @@
         self.mysql_back: MysqlBack | None = None
         if config.mysql is not None:
             self.mysql_back = MysqlBack(
-                config, config.mysql, self.timers, self.dialer, sockets, self.clock.now)
+                config, config.mysql, self.timers, self.dialer, sockets, self.clock.now
+            )
             self.core.backs.append(self.mysql_back)
         self.journal = Journal(config, self.timers, self.dialer, self._listed)
         self.peers = Peers(config, lambda sender, body: self.core.tell(api.PeerMessage(sender, body)))
@@ -78,14 +92,15 @@
         self.speaker: Speaker | None = None
         if fleet is not None:
             from slipbay.fleet.speaker import Speaker
+
             if channel is not None:
                 fleet = channel.within(fleet)
-            self.speaker = Speaker(config, fleet, self.timers, self.clock.now, self.peers,
-                                   self._resized)
+            self.speaker = Speaker(config, fleet, self.timers, self.clock.now, self.peers, self._resized)
         self.channel = self._open_channel(channel) if channel is not None else None
         self.quota: QuotaPart | None = None
         if quotas is not None and self.channel is not None:
             from slipbay.quota.part import QuotaPart
+
             self.quota = QuotaPart(config, quotas, self.core, self.clock, self.timers, self.channel)
         self.newcomer: Newcomer | None = None
         if comeback is not None:
@@ -110,12 +125,21 @@
         from slipbay.channel.link import Link
         from slipbay.channel.mux import Mux
         from slipbay.channel.seam import Kind
+
         config = self.config
         parts: dict[int, float] = {Kind[name.upper()]: part for name, part in channel.parts.items()}
         if self.speaker is None:
             del parts[Kind.VIEW]
-        mux = Mux(config.settings.gateway, len(config.peers), config.seed, self.clock.now(), key=channel.key,
-                  old_key=channel.old_key, rate=channel.rate, parts=parts)
+        mux = Mux(
+            config.settings.gateway,
+            len(config.peers),
+            config.seed,
+            self.clock.now(),
+            key=channel.key,
+            old_key=channel.old_key,
+            rate=channel.rate,
+            parts=parts,
+        )
         link = Link(mux, self.peers, self.timers, self.clock.fresh)  # terms stand on it
         if channel.status:
             link.topics[0] = lambda: {"name": config.name, **mux.status()}
@@ -132,14 +156,16 @@
     def _make_newcomer(self, plan: Plan, decider: Controller) -> Newcomer:
         from slipbay.channel.seam import Kind
         from slipbay.comeback.speaker import GROUPS, Newcomer
+
         settings, now, speaker = self.config.settings, self.clock.now, self.speaker
 
         def knows() -> tuple[api.Inherited, int]:
             since = now() - settings.extra_window_us
             return decider.knows(now(), GROUPS), sum(at > since for at, _ in decider.memory().extras)
 
-        newcomer = Newcomer(plan, settings, self.config.seed, self.core, self.timers, now, knows,
-                            decider.held)
+        newcomer = Newcomer(
+            plan, settings, self.config.seed, self.core, self.timers, now, knows, decider.held
+        )
         if speaker is not None:
             newcomer.machine.living = lambda: len(speaker.machine.living)
         if self.channel is not None:
@@ -150,22 +176,40 @@
 
     def _scatter(self, gather: GatherPlan, decider: Controller) -> None:
         from slipbay.gather.part import GatherPart
-        part = GatherPart(gather, self.config, self.core, self.timers, self.clock.now, decider.condition,
-                          self.front.knows, self.channel)
+
+        part = GatherPart(
+            gather,
+            self.config,
+            self.core,
+            self.timers,
+            self.clock.now,
+            decider.condition,
+            self.front.knows,
+            self.channel,
+        )
         self.front.scatterer = part.scatterer
         if (keeper := self.keeper) is not None:
             keeper.recalled[b"g"] = part.recall
             part.keep(lambda value: keeper.keep_snapshot(value, b"g"))
 
-    def _make_keeper(self, store: StoreConfig, decider: Controller,
-                     loop: asyncio.AbstractEventLoop) -> Keeper:
+    def _make_keeper(
+        self, store: StoreConfig, decider: Controller, loop: asyncio.AbstractEventLoop
+    ) -> Keeper:
         """What it needs is loaded here, as most routers run without it."""
         try:
             from slipbay.core.keeper import Keeper, open_writer
         except ImportError as problem:
             raise ConfigError(f"store.toml: want the extra packages of slipbay[store]: {problem}") from None
-        keeper = Keeper(store, self.core, self.clock, self.timers, open_writer(store, loop), decider.memory,
-                        self.end, *self._remember(store))
+        keeper = Keeper(
+            store,
+            self.core,
+            self.clock,
+            self.timers,
+            open_writer(store, loop),
+            decider.memory,
+            self.end,
+            *self._remember(store),
+        )
         self.core.guardian = keeper
         return keeper
 
@@ -174,10 +218,13 @@
         if store.loss is None or not store.loss.fleet:
             return ()
         if self.channel is None or len(self.config.peers) < 2:
-            raise ConfigError("store.toml: loss.fleet: want other routers in the configuration, and the "
-                              "channel on (channel.toml)")
+            raise ConfigError(
+                "store.toml: loss.fleet: want other routers in the configuration, and the "
+                "channel on (channel.toml)"
+            )
         from slipbay.channel.seam import Kind
         from slipbay.ledger.lives import Lives
+
         channel, me = self.channel, self.config.settings.gateway
         lives = Lives(me, len(self.config.peers), secrets.randbits(32), self.clock.now())
         channel.mux.add(Kind.LIVES, lives)
@@ -216,8 +263,13 @@
             mysql_front = MysqlFront(self.config, self.config.mysql, self.core, self.mysql_back)
             self.server.listen(self.config.mysql.listen, lambda: MysqlConnection(self.server, mysql_front))
         listens = [self.config.listen, *([self.config.mysql.listen] if self.config.mysql is not None else [])]
-        log("start", f"{self.config.name} listens at " + ", ".join(
-            f"{address[0]}:{port}" for address, port in zip(listens, self.server.ports, strict=True)))
+        log(
+            "start",
+            f"{self.config.name} listens at "
+            + ", ".join(
+                f"{address[0]}:{port}" for address, port in zip(listens, self.server.ports, strict=True)
+            ),
+        )
 
     def reload(self, environment: Mapping[str, str]) -> None:
         """SIGHUP: read and check the whole configuration; only ``journal`` changes in a running router."""
@@ -230,14 +282,21 @@
             log("reload", f"bad configuration, the old one stays: {problem}")
             return
         # compared as they were read: the positions known at a start mean nothing to a running router
-        changed = [item.name for item in fields(new) if item.name not in ("journal", "known", "store")
-                   and getattr(new, item.name) != getattr(self.config, item.name)]
+        changed = [
+            item.name
+            for item in fields(new)
+            if item.name not in ("journal", "known", "store")
+            and getattr(new, item.name) != getattr(self.config, item.name)
+        ]
         changed += store_changes(self.config.store, new.store)
         changed += ["channel"] if channel != self._channel_config else []
         changed += ["quota"] if (quotas is None) != (self.quota is None) else []
         changed += ["gather"] if gather != self._gather_plan else []
-        log("reload", "the configuration was read again" + (
-            f"; takes effect at the next start: {', '.join(changed)}" if changed else ""))
+        log(
+            "reload",
+            "the configuration was read again"
+            + (f"; takes effect at the next start: {', '.join(changed)}" if changed else ""),
+        )
         if self.keeper is not None and new.store is not None:
             self.keeper.reload(new.store)
         if self.quota is not None and quotas is not None:
@@ -271,8 +330,15 @@
     quotas = load_quota(config, os.environ)
     if quotas is not None:
         need_channel(channel, "quota.toml")
-    router = Router(config, loop, fleet, channel, load_comeback(config, os.environ, channel), quotas,
-                    load_gather(config, os.environ))
+    router = Router(
+        config,
+        loop,
+        fleet,
+        channel,
+        load_comeback(config, os.environ, channel),
+        quotas,
+        load_gather(config, os.environ),
+    )
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, router.end)
     loop.add_signal_handler(signal.SIGHUP, router.reload, os.environ)
--- a/slipbay/store/disk.py
+++ b/slipbay/store/disk.py
@@ -58,7 +58,7 @@
     def append(self, data: bytes) -> None:
         view = memoryview(data)
         while view:
-            view = view[os.write(self._fd, view):]
+            view = view[os.write(self._fd, view) :]
 
     def sync(self) -> None:
         os.fdatasync(self._fd)  # with the size, as it is needed to read what was appended (fdatasync(2))
--- a/slipbay/store/engine.py
+++ b/slipbay/store/engine.py
@@ -157,8 +157,11 @@
         frames, sequence, flag = [], self.sequence, frame.FIRST
         for key, value in changes:
             sequence += 1
-            frames.append(frame.frame(sequence, key, value or b"",
-                                      (frame.DELETE if value is None else frame.PUT) | flag))
+            frames.append(
+                frame.frame(
+                    sequence, key, value or b"", (frame.DELETE if value is None else frame.PUT) | flag
+                )
+            )
             flag = 0
         data = b"".join(frames)
         if not plan.room(self.used_bytes, len(data), must, self.bounds):
@@ -261,9 +264,15 @@
             return False
         if self._merge is None:
             sealed = self._manifest.segments[:-1]
-            count = len(sealed) if force else plan.merge(
-                [plan.Sizes(segment.raw, self._live[segment.number]) for segment in sealed],
-                self.used_bytes, self.bounds)
+            count = (
+                len(sealed)
+                if force
+                else plan.merge(
+                    [plan.Sizes(segment.raw, self._live[segment.number]) for segment in sealed],
+                    self.used_bytes,
+                    self.bounds,
+                )
+            )
             if not count:
                 return False
             self._merge = self._merging(count)
@@ -299,8 +308,16 @@
                     data = frame.block(b"".join(item for _, _, item in frames))
                     inner = 0
                     for key, old, item in frames:
-                        moved.append((key, old, number << _SEGMENT_AT | end << _OFFSET_AT
-                                      | inner + 1 << _INNER_AT | len(item)))
+                        moved.append(
+                            (
+                                key,
+                                old,
+                                number << _SEGMENT_AT
+                                | end << _OFFSET_AT
+                                | inner + 1 << _INNER_AT
+                                | len(item),
+                            )
+                        )
                         inner += len(item)
                     handle.append(data)
                     end, raw, unsynced = end + len(data), raw + inner, unsynced + len(data)
@@ -332,8 +349,7 @@
         self._remove(segment.name for segment in (*merged, *([] if moved else [into])))
         self.totals.compactions += 1
 
-    def _living(self, segments: tuple[Segment, ...],
-                enough: int) -> Iterator[list[tuple[bytes, int, bytes]]]:
+    def _living(self, segments: tuple[Segment, ...], enough: int) -> Iterator[list[tuple[bytes, int, bytes]]]:
         """Key, place and frame of what lives in segments, as it was written, so many records at a time."""
         for segment in segments:
             place, last = segment.number << _SEGMENT_AT, segment.base
@@ -348,8 +364,15 @@
                 for record in scan.records:
                     where = _place(place, record)
                     if self._where(record.key) == where:
-                        found.append((record.key, where, blocks.frame(where) if record.inner >= 0 else
-                                      data[record.offset:record.offset + record.length]))
+                        found.append(
+                            (
+                                record.key,
+                                where,
+                                blocks.frame(where)
+                                if record.inner >= 0
+                                else data[record.offset : record.offset + record.length],
+                            )
+                        )
                 yield found
 
     # Reading
@@ -421,15 +444,16 @@
             return self._from_log(number, offset, length)
         if self._block_at != (number, offset):
             self._frames, self._block_at = self._block(number, offset), (number, offset)
-        return self._frames[inner:inner + length]
+        return self._frames[inner : inner + length]
 
     def _from_log(self, number: int, offset: int, length: int) -> bytes:
         start = offset - self._stretch_at[1]
         if self._stretch_at[0] != number or start < 0 or start + length > len(self._stretch):
-            self._stretch = self._disk.read(manifest.segment_name(number), offset,
-                                            max(length, frame.BLOCK_BYTES))
+            self._stretch = self._disk.read(
+                manifest.segment_name(number), offset, max(length, frame.BLOCK_BYTES)
+            )
             self._stretch_at, start = (number, offset), 0
-        found = self._stretch[start:start + length]
+        found = self._stretch[start : start + length]
         if len(found) < length or frame.checksum(found[4:]) != frame.CRC.unpack_from(found)[0]:
             raise Damaged(f"{manifest.segment_name(number)}: the frame at byte {offset} is spoilt")
         return found
@@ -448,11 +472,10 @@
 
 def _value(data: bytes) -> bytes:
     key_length: int = frame.FRAME.unpack_from(data)[3]
-    return data[frame.FRAME_BYTES + key_length:]
+    return data[frame.FRAME_BYTES + key_length :]
 
 
-def scan_segments(disk: Disk, found: Manifest,
-                  names: list[str]) -> Iterator[tuple[Segment, frame.Scan, int]]:
+def scan_segments(disk: Disk, found: Manifest, names: list[str]) -> Iterator[tuple[Segment, frame.Scan, int]]:
     """Each segment in order with its records, some at a time, and with the last of them the bytes of a torn
     end behind the last whole commit.
 
@@ -478,8 +501,9 @@
         if sealed and not segment.compacted and not scan.spoilt and scan.last != segment.last:
             raise Damaged(f"{segment.name}: it ends with record {scan.last}, not {segment.last}")
         if sealed and scan.spoilt or scan.spoilt and frame.later_commit(data, scan.end, end, scan.last) >= 0:
-            raise Damaged(f"{segment.name}: byte {scan.end}: {scan.spoilt}, "
-                          "and what follows was written later")
+            raise Damaged(
+                f"{segment.name}: byte {scan.end}: {scan.spoilt}, and what follows was written later"
+            )
         if segment.compacted:
             scan = replace(scan, last=segment.last)  # its last records may have been deleted
         last = scan.last
--- a/slipbay/store/frame.py
+++ b/slipbay/store/frame.py
@@ -73,7 +73,7 @@
         raise Damaged(f"{name}: this is no segment of a store")
     if version > FORMAT:
         raise NewerFormat(f"{name}: format {version}; this program reads formats up to {FORMAT}")
-    if CRC.unpack_from(data, HEAD.size)[0] != checksum(data[:HEAD.size]):
+    if CRC.unpack_from(data, HEAD.size)[0] != checksum(data[: HEAD.size]):
         raise Damaged(f"{name}: the head is spoilt")
     return number, base
 
@@ -81,9 +81,10 @@
 def frame(sequence: int, key: bytes, value: bytes, kind: int = PUT) -> bytes:
     """One frame. ``ValueError`` where key or value are longer than a frame may hold."""
     if len(key) > MOST_KEY_BYTES or len(value) > MOST_BLOCK_BYTES:
-        raise ValueError(f"want keys of at most {MOST_KEY_BYTES} and values of at most "
-                         f"{MOST_VALUE_BYTES} bytes")
-    body = FRAME.pack(0, len(key) + len(value), sequence, len(key), kind)[CRC.size:] + key + value
+        raise ValueError(
+            f"want keys of at most {MOST_KEY_BYTES} and values of at most {MOST_VALUE_BYTES} bytes"
+        )
+    body = FRAME.pack(0, len(key) + len(value), sequence, len(key), kind)[CRC.size :] + key + value
     return CRC.pack(checksum(body)) + body
 
 
@@ -109,8 +110,7 @@
     more: bool = False  # it stopped only because it has enough records
 
 
-def scan(data: bytes, at: int, end: int, last: int, consecutive: bool,
-         enough: int = 2**62) -> Scan:
+def scan(data: bytes, at: int, end: int, last: int, consecutive: bool, enough: int = 2**62) -> Scan:
     """Read frames of ``data`` from ``at`` until ``end`` or until one is spoilt.
 
     It stops once it has ``enough`` records. ``last`` is the sequence before the first. ``consecutive``: each
@@ -128,7 +128,7 @@
         stop = at + FRAME_BYTES + length
         if length > most or key_length > length or stop > end:
             return Scan(records, at, last, "a frame is cut off or its length is spoilt")
-        if _checksum(data[at + 4:stop]) != crc:
+        if _checksum(data[at + 4 : stop]) != crc:
             return Scan(records, at, last, "a checksum does not fit")
         key_start = at + FRAME_BYTES
         kind &= ~FIRST
@@ -175,8 +175,14 @@
             if stop > end or sequence <= last:
                 raise Damaged("a block holds what no compaction writes")
             key_end = start + key_length
-            yield Record(sequence, frames[start:key_end], None if kind & DELETE else frames[key_end:stop],
-                         offset, at, stop - at)
+            yield Record(
+                sequence,
+                frames[start:key_end],
+                None if kind & DELETE else frames[key_end:stop],
+                offset,
+                at,
+                stop - at,
+            )
             last, at = sequence, stop
     except error:
         raise Damaged("a block holds what no compaction writes") from None
@@ -190,7 +196,12 @@
     for offset in range(at + 1, end - FRAME_BYTES + 1):
         crc, length, sequence, key_length, kind = FRAME.unpack_from(data, offset)
         stop = offset + FRAME_BYTES + length
-        if (kind & FIRST and stop <= end and key_length <= length and last < sequence < last + 2**32
-                and _checksum(data[offset + 4:stop]) == crc):
+        if (
+            kind & FIRST
+            and stop <= end
+            and key_length <= length
+            and last < sequence < last + 2**32
+            and _checksum(data[offset + 4 : stop]) == crc
+        ):
             return offset
     return -1
--- a/slipbay/store/inspect.py
+++ b/slipbay/store/inspect.py
@@ -57,8 +57,9 @@
         kept = {segment.name for segment in plan.segments}
         found.segments = plan.segments
         found.strays = [name for name in names if manifest.is_ours(name) and name not in kept]
-        found.foreign = [name for name in names
-                         if not manifest.is_ours(name) and name not in (manifest.NAME, "LOCK")]
+        found.foreign = [
+            name for name in names if not manifest.is_ours(name) and name not in (manifest.NAME, "LOCK")
+        ]
         for _, scan, torn in scan_segments(disk, plan, names):
             for record in scan.records:
                 if record.value is None:
--- a/slipbay/store/manifest.py
+++ b/slipbay/store/manifest.py
@@ -74,27 +74,39 @@
 
 
 def write(manifest: Manifest) -> bytes:
-    body: bytes = msgpack.packb([manifest.generation, manifest.next_number, [
-        [item.number, item.base, item.end, item.last, item.raw, item.compacted]
-        for item in manifest.segments]])
+    body: bytes = msgpack.packb(
+        [
+            manifest.generation,
+            manifest.next_number,
+            [
+                [item.number, item.base, item.end, item.last, item.raw, item.compacted]
+                for item in manifest.segments
+            ],
+        ]
+    )
     return _HEAD.pack(MAGIC, FORMAT, len(body), checksum(body)) + body
 
 
 def read(data: bytes) -> Manifest:
     """``Damaged`` or ``NewerFormat`` where it is no manifest that we know."""
-    if len(data) < _HEAD.size or data[:len(MAGIC)] != MAGIC:
+    if len(data) < _HEAD.size or data[: len(MAGIC)] != MAGIC:
         raise Damaged(f"{NAME}: this is no manifest of a store")
     _, version, length, crc = _HEAD.unpack_from(data)
     if version > FORMAT:
         raise NewerFormat(f"{NAME}: format {version}; this program reads formats up to {FORMAT}")
-    body = data[_HEAD.size:]
+    body = data[_HEAD.size :]
     if len(body) != length or checksum(body) != crc:
         raise Damaged(f"{NAME}: it is cut off or spoilt")
     try:
         generation, next_number, segments = msgpack.unpackb(body)
-        found = Manifest(int(generation), int(next_number), tuple(
-            Segment(int(number), int(base), int(end), int(last), int(raw), bool(compacted))
-            for number, base, end, last, raw, compacted in segments))
+        found = Manifest(
+            int(generation),
+            int(next_number),
+            tuple(
+                Segment(int(number), int(base), int(end), int(last), int(raw), bool(compacted))
+                for number, base, end, last, raw, compacted in segments
+            ),
+        )
     except (ValueError, TypeError) as problem:
         raise Damaged(f"{NAME}: {problem}") from None
     if not found.segments:
--- a/slipbay/store/marker.py
+++ b/slipbay/store/marker.py
@@ -38,7 +38,7 @@
             return None
         found: Word | None = None
         for at in (0, SLOT_BYTES):
-            slot, crc = data[at:at + SLOT.size], data[at + SLOT.size:at + SLOT.size + CRC.size]
+            slot, crc = data[at : at + SLOT.size], data[at + SLOT.size : at + SLOT.size + CRC.size]
             if len(crc) < CRC.size or CRC.unpack(crc)[0] != checksum(slot):
                 continue
             magic, turn, store, generation, sequence = SLOT.unpack(slot)
--- a/slipbay/store/writer.py
+++ b/slipbay/store/writer.py
@@ -101,6 +101,7 @@
 
     def get(self, key: bytes, done: Callable[[bytes | None], None]) -> None:
         """Read a value; None where there is none, or where it can't be read."""
+
         def work(store: Store) -> None:
             try:
                 value = store.get(key)
@@ -148,8 +149,7 @@
             store = self._make()
             contents = self._load(store)
         except (StoreError, OSError) as problem:
-            text = (f"{problem.filename}: {problem.strerror}" if isinstance(problem, OSError)
-                    else str(problem))
+            text = f"{problem.filename}: {problem.strerror}" if isinstance(problem, OSError) else str(problem)
             self.health = Health(State.READ_ONLY, text)
             self._tell(lambda: self._opened(None, text))
             self._refuse_all(text)
@@ -219,9 +219,14 @@
                 return ask
             while self._queue:
                 item = self._queue[0]
-                if not isinstance(item, _Append) or group and (
+                if (
+                    not isinstance(item, _Append)
+                    or group
+                    and (
                         changes + len(item.changes) > self._grouping.most_changes
-                        or size + item.size > self._grouping.most_bytes):
+                        or size + item.size > self._grouping.most_bytes
+                    )
+                ):
                     break
                 self._queue.popleft()
                 group.append(item)
@@ -240,8 +245,9 @@
     def _commit(self, store: Store, group: list[_Append]) -> None:
         problem: StoreError | None = None
         try:
-            store.commit([change for item in group for change in item.changes],
-                         all(item.must for item in group))
+            store.commit(
+                [change for item in group for change in item.changes], all(item.must for item in group)
+            )
             if self.vouch is not None and not all(item.must for item in group):
                 self.vouch(store)
         except Full as full:
@@ -251,8 +257,11 @@
                     self._commit(store, [item])
                 return
         except (CannotWrite, OSError) as failure:
-            problem = (failure if isinstance(failure, CannotWrite) else
-                       CannotWrite(f"the marker: writing failed: {failure.strerror or failure}"))
+            problem = (
+                failure
+                if isinstance(failure, CannotWrite)
+                else CannotWrite(f"the marker: writing failed: {failure.strerror or failure}")
+            )
             self._again_at = time.monotonic() + self._grouping.retry_us / 1e6
         self._note(store)
         self._tell(lambda: _answer(group, problem))
--- a/slipbay/stream.py
+++ b/slipbay/stream.py
@@ -119,8 +119,9 @@
 class Dial:
     """One connection on its way up. Exactly one of connecting, ``failed`` and ``give_up`` ends it."""
 
-    def __init__(self, dialer: Dialer, address: Address, stream: Stream, timeout_us: int,
-                 failed: Callable[[int], None]) -> None:
+    def __init__(
+        self, dialer: Dialer, address: Address, stream: Stream, timeout_us: int, failed: Callable[[int], None]
+    ) -> None:
         self._dialer, self._stream, self._failed = dialer, stream, failed
         self._waiting = True
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
@@ -164,8 +165,9 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, timers: Timers) -> None:
         self.loop, self.timers = loop, timers
 
-    def dial(self, address: Address, stream: Stream, timeout_us: int,
-             failed: Callable[[int], None]) -> Dial | None:
+    def dial(
+        self, address: Address, stream: Stream, timeout_us: int, failed: Callable[[int], None]
+    ) -> Dial | None:
         """Start to connect; ``stream.opened`` or ``failed(errno)`` follows, never within this call.
 
         None, and ``failed(EMFILE)`` soon, where the system has no descriptor left.
--- a/slipbay/wire/http1.py
+++ b/slipbay/wire/http1.py
@@ -20,8 +20,9 @@
     keep: bool = True  # the connection serves further calls
 
 
-def request(method: str, path: str, host: str, headers: Iterable[tuple[str, str]] = (),
-            body: bytes | None = None) -> bytes:
+def request(
+    method: str, path: str, host: str, headers: Iterable[tuple[str, str]] = (), body: bytes | None = None
+) -> bytes:
     lines = [f"{method} {path} HTTP/1.1", f"Host: {host}", *(f"{name}: {value}" for name, value in headers)]
     if body is not None:
         lines.append(f"Content-Length: {len(body)}")
@@ -71,15 +72,18 @@
             self._scanned = len(self._data)
             return False
         first, *lines = bytes(self._data[:end]).decode("latin-1").split("\r\n")
-        del self._data[:end + 4]
+        del self._data[: end + 4]
         self._scanned = 0
         self._interim += end + 4
         if self._interim > 2 * MOST_HEAD_BYTES:
             raise MalformedResponse("interim responses that never end")
         version, _, rest = first.partition(" ")
         status = rest.partition(" ")[0]
-        if version not in ("HTTP/1.1", "HTTP/1.0") or len(status) != 3 or not (
-                status.isascii() and status.isdigit()):
+        if (
+            version not in ("HTTP/1.1", "HTTP/1.0")
+            or len(status) != 3
+            or not (status.isascii() and status.isdigit())
+        ):
             raise MalformedResponse("no status line")
         headers: dict[str, str] = {}
         for line in lines:
@@ -127,7 +131,7 @@
 
     def _read_trailers(self, end: int) -> bytes | None:
         """The last chunk's line ends at ``end``; trailers are skipped up to the empty line."""
-        if self._data[end:end + 4] == b"\r\n\r\n":
+        if self._data[end : end + 4] == b"\r\n\r\n":
             self._take(end + 4)
         else:
             last = self._data.find(b"\r\n\r\n", end)
--- a/slipbay/wire/jsonrpc.py
+++ b/slipbay/wire/jsonrpc.py
@@ -101,20 +101,31 @@
     if not statement:
         raise Problem(call.id, INVALID_PARAMS, "data holds no statement")
     cpu = number("cpu", 4_000_000)
-    return QueryParams(txn, int(limit * 1000), text("team"), call.params.get("second") in (1, "1", True),
-                       None if cpu is None else int(cpu * 1000), number("ram", 1e9) or 0.0, statement)
+    return QueryParams(
+        txn,
+        int(limit * 1000),
+        text("team"),
+        call.params.get("second") in (1, "1", True),
+        None if cpu is None else int(cpu * 1000),
+        number("ram", 1e9) or 0.0,
+        statement,
+    )
 
 
 def result(id: int, data: bytes) -> bytes:
     return b'{"jsonrpc":"2.0","id":%d,"result":{"data":"%s"}}\n' % (id, base64.b64encode(data))
 
 
-def gathered(id: int, data: bytes, asked: Sequence[int], present: Sequence[int],
-             missing: Sequence[int]) -> bytes:
+def gathered(
+    id: int, data: bytes, asked: Sequence[int], present: Sequence[int], missing: Sequence[int]
+) -> bytes:
     """The answer to a scattered query: rows of the groups that are present, in this order."""
     parts = json.dumps({"asked": asked, "present": present, "missing": missing}, separators=(",", ":"))
     return b'{"jsonrpc":"2.0","id":%d,"result":{"data":"%s","parts":%s}}\n' % (
-        id, base64.b64encode(data), parts.encode())
+        id,
+        base64.b64encode(data),
+        parts.encode(),
+    )
 
 
 def health(id: int, well: bool) -> bytes:
--- a/slipbay/wire/mysql.py
+++ b/slipbay/wire/mysql.py
@@ -16,8 +16,16 @@
 LONG_PASSWORD, CONNECT_WITH_DB, PROTOCOL_41, SSL = 1 << 0, 1 << 3, 1 << 9, 1 << 11
 TRANSACTIONS, SECURE_CONNECTION = 1 << 13, 1 << 15
 PLUGIN_AUTH, CONNECT_ATTRS, PLUGIN_AUTH_LENENC = 1 << 19, 1 << 20, 1 << 21
-CAPABILITIES = (LONG_PASSWORD | CONNECT_WITH_DB | PROTOCOL_41 | TRANSACTIONS | SECURE_CONNECTION
-                | PLUGIN_AUTH | CONNECT_ATTRS | PLUGIN_AUTH_LENENC)
+CAPABILITIES = (
+    LONG_PASSWORD
+    | CONNECT_WITH_DB
+    | PROTOCOL_41
+    | TRANSACTIONS
+    | SECURE_CONNECTION
+    | PLUGIN_AUTH
+    | CONNECT_ATTRS
+    | PLUGIN_AUTH_LENENC
+)
 NEEDED = PROTOCOL_41 | SECURE_CONNECTION
 
 # Commands
@@ -34,11 +42,21 @@
 # Errors of ours, outside of the numbers that servers use
 ER_FAILED, ER_REFUSED = 9500, 9503
 SQLSTATES = {
-    ER_CON_COUNT: "08004", ER_HANDSHAKE: "08S01", ER_ACCESS_DENIED: "28000", ER_UNKNOWN_COM: "08S01",
-    ER_BAD_DB: "42000", ER_SERVER_SHUTDOWN: "08S01", ER_UNKNOWN_CHARSET: "42000",
-    ER_PACKET_TOO_LARGE: "08S01", ER_TOO_MANY_USER_CONNECTIONS: "42000", ER_USER_LIMIT: "42000",
-    ER_NOT_SUPPORTED: "42000", ER_QUERY_INTERRUPTED: "70100", ER_MAX_PREPARED: "42000",
-    ER_FAILED: "58000", ER_REFUSED: "53000",
+    ER_CON_COUNT: "08004",
+    ER_HANDSHAKE: "08S01",
+    ER_ACCESS_DENIED: "28000",
+    ER_UNKNOWN_COM: "08S01",
+    ER_BAD_DB: "42000",
+    ER_SERVER_SHUTDOWN: "08S01",
+    ER_UNKNOWN_CHARSET: "42000",
+    ER_PACKET_TOO_LARGE: "08S01",
+    ER_TOO_MANY_USER_CONNECTIONS: "42000",
+    ER_USER_LIMIT: "42000",
+    ER_NOT_SUPPORTED: "42000",
+    ER_QUERY_INTERRUPTED: "70100",
+    ER_MAX_PREPARED: "42000",
+    ER_FAILED: "58000",
+    ER_REFUSED: "53000",
 }
 
 NATIVE, CACHING_SHA2 = "mysql_native_password", "caching_sha2_password"
@@ -82,8 +100,8 @@
                 raise PacketTooLarge
             if len(self._data) < 4 + size:
                 return
-            self._payload += self._data[4:4 + size]
-            del self._data[:4 + size]
+            self._payload += self._data[4 : 4 + size]
+            del self._data[: 4 + size]
             if size < MOST_IN_PACKET:
                 payload = bytes(self._payload)
                 self._payload.clear()
@@ -106,7 +124,7 @@
     for payload in payloads:
         start = 0
         while True:
-            piece = payload[start:start + MOST_IN_PACKET]
+            piece = payload[start : start + MOST_IN_PACKET]
             parts += [len(piece).to_bytes(3, "little"), bytes([sequence % 256]), piece]
             sequence += 1
             start += MOST_IN_PACKET
@@ -125,7 +143,7 @@
         if size < 0 or self.at + size > len(self.payload):
             raise MalformedPacket("a packet ends inside a field")
         self.at += size
-        return self.payload[self.at - size:self.at]
+        return self.payload[self.at - size : self.at]
 
     def number(self, size: int) -> int:
         return int.from_bytes(self.take(size), "little")
@@ -142,7 +160,7 @@
         end = self.payload.find(b"\0", self.at)
         if end < 0:
             raise MalformedPacket("a string does not end")
-        text = self.payload[self.at:end]
+        text = self.payload[self.at : end]
         self.at = end + 1
         return text
 
@@ -189,8 +207,9 @@
 
 
 def err(code: int, message: str) -> bytes:
-    return (bytes([ERR]) + _U16.pack(code) + b"#" + SQLSTATES.get(code, "HY000").encode()
-            + message.encode()[:512])
+    return (
+        bytes([ERR]) + _U16.pack(code) + b"#" + SQLSTATES.get(code, "HY000").encode() + message.encode()[:512]
+    )
 
 
 def read_err(payload: bytes) -> Error:
@@ -217,11 +236,26 @@
 
 
 def greeting(told: Greeting) -> bytes:
-    return b"".join((
-        b"\x0a", told.version.encode(), b"\0", _U32.pack(told.connection), told.challenge[:8], b"\0",
-        _U16.pack(told.capabilities & 0xFFFF), bytes([UTF8MB4]), _U16.pack(STATUS_AUTOCOMMIT),
-        _U16.pack(told.capabilities >> 16), bytes([len(told.challenge) + 1]), bytes(10),
-        told.challenge[8:], b"\0", told.plugin.encode(), b"\0"))
+    return b"".join(
+        (
+            b"\x0a",
+            told.version.encode(),
+            b"\0",
+            _U32.pack(told.connection),
+            told.challenge[:8],
+            b"\0",
+            _U16.pack(told.capabilities & 0xFFFF),
+            bytes([UTF8MB4]),
+            _U16.pack(STATUS_AUTOCOMMIT),
+            _U16.pack(told.capabilities >> 16),
+            bytes([len(told.challenge) + 1]),
+            bytes(10),
+            told.challenge[8:],
+            b"\0",
+            told.plugin.encode(),
+            b"\0",
+        )
+    )
 
 
 def read_greeting(payload: bytes) -> Greeting:
@@ -257,11 +291,17 @@
 
 def login(told: Login) -> bytes:
     assert told.user is not None
-    return b"".join((
-        _RESPONSE_HEAD.pack(told.capabilities, MOST_IN_PACKET, told.charset), told.user.encode(), b"\0",
-        lenenc_bytes(told.proof),
-        told.database.encode() + b"\0" if told.capabilities & CONNECT_WITH_DB else b"",
-        told.plugin.encode(), b"\0"))
+    return b"".join(
+        (
+            _RESPONSE_HEAD.pack(told.capabilities, MOST_IN_PACKET, told.charset),
+            told.user.encode(),
+            b"\0",
+            lenenc_bytes(told.proof),
+            told.database.encode() + b"\0" if told.capabilities & CONNECT_WITH_DB else b"",
+            told.plugin.encode(),
+            b"\0",
+        )
+    )
 
 
 def read_login(payload: bytes) -> Login:
@@ -279,8 +319,14 @@
     plugin = NATIVE
     if capabilities & PLUGIN_AUTH and reader.left:
         plugin = reader.null_ended().decode("ascii", "replace")
-    return Login(capabilities, charset, user.decode("utf-8", "replace"), proof,
-                 database.decode("utf-8", "replace"), plugin)
+    return Login(
+        capabilities,
+        charset,
+        user.decode("utf-8", "replace"),
+        proof,
+        database.decode("utf-8", "replace"),
+        plugin,
+    )
 
 
 def tls_request(capabilities: int, charset: int) -> bytes:
--- a/slipbay/wire/spiffe.py
+++ b/slipbay/wire/spiffe.py
@@ -23,7 +23,8 @@
     if not _DOMAIN.fullmatch(domain):
         raise InvalidId("a trust domain has lower-case letters, digits, dots, dashes and underscores only")
     if not slash or not all(
-            _SEGMENT.fullmatch(segment) and segment not in (".", "..") for segment in path.split("/")):
+        _SEGMENT.fullmatch(segment) and segment not in (".", "..") for segment in path.split("/")
+    ):
         raise InvalidId("a workload's ID has a path of plain segments")
     return domain
 
--- a/slipbay/wire/sql.py
+++ b/slipbay/wire/sql.py
@@ -5,14 +5,17 @@
 import re
 from dataclasses import dataclass
 
-_TOKEN = re.compile(r"""
+_TOKEN = re.compile(
+    r"""
     (?P<comment>--[^\n]*|\#[^\n]*|/\*.*?(?:\*/|\Z))
   | (?P<string>'(?:[^'\\]|\\.|'')*(?:'|\Z))
   | (?P<variable>@@?[\w$.`]+)
   | (?P<name>(?:[A-Za-z_][\w$]*|`(?:[^`]|``)*`|"(?:[^"\\]|\\.|"")*")
        (?:\s*\.\s*(?:[A-Za-z_][\w$]*|`(?:[^`]|``)*`|"(?:[^"\\]|\\.|"")*"|\*))*)
   | (?P<mark>[(),;])
-""", re.X | re.S)
+""",
+    re.X | re.S,
+)
 _PART = re.compile(r"""`(?:[^`]|``)*`|"(?:[^"\\]|\\.|"")*"|[^.\s]+""", re.S)
 _SCHEMA = re.compile(r"(\w*)_(\d{1,9})")
 _BEFORE_TABLES = {"from", "join", "into", "update", "table"}
--- a/tests/channel_play.py
+++ b/tests/channel_play.py
@@ -22,10 +22,19 @@
 from slipbay.rig.script import from_table
 
 CHATTY = Path(__file__).with_name("chatty.py")
-SCRIPT: dict[str, Any] = {"routers": 4, "engines": 8, "zones": 2, "seconds": 6, "settle_s": 15,
-                          "load": {"lookups": 150, "reports": 20, "loads": 2},
-                          "do": [{"at": 1, "what": "double", "part": 0.2}, {"at": 2, "what": "replay"},
-                                 {"at": 3, "what": "replay"}]}
+SCRIPT: dict[str, Any] = {
+    "routers": 4,
+    "engines": 8,
+    "zones": 2,
+    "seconds": 6,
+    "settle_s": 15,
+    "load": {"lookups": 150, "reports": 20, "loads": 2},
+    "do": [
+        {"at": 1, "what": "double", "part": 0.2},
+        {"at": 2, "what": "replay"},
+        {"at": 3, "what": "replay"},
+    ],
+}
 
 
 @dataclass
@@ -82,11 +91,11 @@
     return Listening
 
 
-def play(channel: dict[int, str], views: dict[int, str], *words: str,
-         **more: Any) -> tuple[Verdict, Heard]:
+def play(channel: dict[int, str], views: dict[int, str], *words: str, **more: Any) -> tuple[Verdict, Heard]:
     """``channel``, ``views``: texts of operator files by router; others run without. ``words``: arguments of
     those with a channel."""
     import slipbay.rig.relays as relays
+
     heard = Heard()
     relay, relays.Relay = relays.Relay, listening(heard)  # type: ignore[misc]
     try:
@@ -109,8 +118,10 @@
     verdict, heard = play({2: on, 3: on}, {1: on, 2: on, 3: on}, without_view=[0])
     for number in range(4):
         size = sum(size for _, size in heard.sent[number])
-        print(f"router {number}: {size} bytes in {len(heard.sent[number])} datagrams, "
-              f"at most {heard.most(number)} in 1 s")
+        print(
+            f"router {number}: {size} bytes in {len(heard.sent[number])} datagrams, "
+            f"at most {heard.most(number)} in 1 s"
+        )
     print(dict(verdict.outcomes), verdict.faults)
 
 
--- a/tests/checker.py
+++ b/tests/checker.py
@@ -50,8 +50,13 @@
             case api.QueryArrived():
                 spec = self.settings.classes[event.service_class]
                 self.queries[event.query] = Watched(
-                    spec, event.service_class, event.order_key if spec.in_order else 0,
-                    now + event.expires_in_us, float(event.told_cost_us or 0), len(self.queries))
+                    spec,
+                    event.service_class,
+                    event.order_key if spec.in_order else 0,
+                    now + event.expires_in_us,
+                    float(event.told_cost_us or 0),
+                    len(self.queries),
+                )
                 self.taken.append(now)
             case api.AttemptEnded():
                 query = self.queries[event.query]
@@ -110,8 +115,13 @@
             since, home = min(unsure)
             first, zone = self.engines[home], spec.dedup_scope is not api.Scope.ALL
             cell = spec.dedup_scope is api.Scope.CELL
-            if (now - since > spec.dedup_window_us or zone and first.zone != entry.zone
-                    or cell and first.cell != entry.cell):
+            if (
+                now - since > spec.dedup_window_us
+                or zone
+                and first.zone != entry.zone
+                or cell
+                and first.cell != entry.cell
+            ):
                 self.fault("twice", f"keyed query {number} sent outside its window or group")
         if now - self.left_at.get(engine, now) > settings.drain_grace_us:
             self.fault("drain", f"query {number} sent to an engine that drains or is gone")
@@ -136,8 +146,14 @@
             work = self.work.setdefault(engine, [])
             work.append((now, query.cost))
             spent = sum(cost for at, cost in work if at > now - settings.cold_window_us)
-            room = (settings.cold_multiple * settings.cold_share * settings.kind_cores[entry.kind] * CORE_WORK
-                    * settings.cold_window_us / settings.gateways)
+            room = (
+                settings.cold_multiple
+                * settings.cold_share
+                * settings.kind_cores[entry.kind]
+                * CORE_WORK
+                * settings.cold_window_us
+                / settings.gateways
+            )
             if spent > room:
                 self.fault("cold", f"query {number} pushes a cold engine over")
         query.out.add(len(query.sends))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,9 +9,16 @@
 settings.load_profile("slipbay")
 
 TRACKS = {  # files whose tests start many processes: those of a track run one after the other in one worker
-    "test_rig": "plays 1", "test_channel_processes": "plays 1",
-    "test_quota_processes": "plays 1", "test_lives": "plays 1", "test_gather_processes": "plays 1",
-    "test_kills": "plays 2", "test_comeback": "plays 2", "test_losses": "plays 2", "test_together": "plays 2"}
+    "test_rig": "plays 1",
+    "test_channel_processes": "plays 1",
+    "test_quota_processes": "plays 1",
+    "test_lives": "plays 1",
+    "test_gather_processes": "plays 1",
+    "test_kills": "plays 2",
+    "test_comeback": "plays 2",
+    "test_losses": "plays 2",
+    "test_together": "plays 2",
+}
 
 
 @pytest.hookimpl(tryfirst=True)
--- a/tests/contracts/test_channel_contract.py
+++ b/tests/contracts/test_channel_contract.py
@@ -121,6 +121,7 @@
     @property
     def began(self) -> int:
         from slipbay.emulator.parties import EPOCH
+
         return EPOCH
 
     def settle(self) -> None:
@@ -145,8 +146,12 @@
         self.began = clock.fresh()
         for me in range(SIZE):
             told = await self._told(me)
-            config = SimpleNamespace(peers=told, peer_listen=self.real[me], peers_all=None,
-                                     settings=SimpleNamespace(gateway=me, may_tell=True))
+            config = SimpleNamespace(
+                peers=told,
+                peer_listen=self.real[me],
+                peers_all=None,
+                settings=SimpleNamespace(gateway=me, may_tell=True),
+            )
             peers = Peers(cast(Any, config), lambda number, data: None)
             mux = Mux(me, SIZE, 300 + me, clock.now(), key=KEY)
             for kind, party in parties().items():
@@ -179,8 +184,12 @@
         before = [Counter(sender for sender, _, _ in heard) for heard in fences]
 
         async def marked() -> None:
-            while not all(Counter(s for s, _, _ in fences[to])[me] > before[to][me]
-                          for me in range(SIZE) for to in range(SIZE) if me != to):
+            while not all(
+                Counter(s for s, _, _ in fences[to])[me] > before[to][me]
+                for me in range(SIZE)
+                for to in range(SIZE)
+                if me != to
+            ):
                 for me in range(SIZE):
                     for to in {*range(SIZE)} - {me}:
                         self.raw(me, to, frame.encode(Frame(FENCE, me, 300 + me, b""), KEY))
@@ -318,9 +327,9 @@
         data = frame.encode(Frame(kind, sender, 300 + sender, body), key)
         if how == "flipped":
             at = self.random.randrange(5, len(data))
-            data = data[:at] + bytes([data[at] ^ 1 << self.random.randrange(8)]) + data[at + 1:]
+            data = data[:at] + bytes([data[at] ^ 1 << self.random.randrange(8)]) + data[at + 1 :]
         elif how == "cut":
-            data = data[:self.random.randrange(5, len(data))]
+            data = data[: self.random.randrange(5, len(data))]
         elif how == "noise":
             data = data[:5] + self.random.randbytes(60)
         if how == "stranger":
@@ -349,8 +358,11 @@
                 held(body in self.said, "C5", f"{body[:12]!r} was never said")
                 source, target, fate = self.said[body]
                 held(fate != "nowhere", "C7", f"said to {target} by {source}, and heard by {me}")
-                held((sender, me, life) == (source, target, self.net.mux[source].life), "C1",
-                     "another sender, receiver or life")
+                held(
+                    (sender, me, life) == (source, target, self.net.mux[source].life),
+                    "C1",
+                    "another sender, receiver or life",
+                )
                 came[body] += 1
         for body, (_, _, fate) in self.said.items():
             held(fate != "comes" or came[body], "C1", "within the budget and unharmed, and it did not come")
@@ -365,7 +377,10 @@
 
 
 CARRIERS: dict[str, tuple[type[Carrier], int]] = {  # and how many histories
-    "emulator": (Emulated, 60), "sockets": (Sockets, 25), "relays": (Relayed, 25)}
+    "emulator": (Emulated, 60),
+    "sockets": (Sockets, 25),
+    "relays": (Relayed, 25),
+}
 
 
 # Broken carriers
@@ -383,7 +398,7 @@
 
     def raw(self, me: int, to: int, data: bytes) -> None:
         good = frame.HEAD.size + 29 * 8 + frame.DIGEST_BYTES
-        super().raw(me, to, data[:good + (good - 5) % 3 // 3] if len(data) > frame.MOST_BYTES else data)
+        super().raw(me, to, data[: good + (good - 5) % 3 // 3] if len(data) > frame.MOST_BYTES else data)
 
 
 class Tunnels(Network):
@@ -446,4 +461,5 @@
 BROKEN = (Swaps, AnyLength, Tunnels, Stutters, Trusting, Unbounded, Wraps)
 
 test_a_carrier_keeps_its_contract, test_the_contract_finds_the_broken_obligation = suite(
-    ChannelContract, CARRIERS, BROKEN, broken=broken)
+    ChannelContract, CARRIERS, BROKEN, broken=broken
+)
--- a/tests/contracts/test_exchange_contract.py
+++ b/tests/contracts/test_exchange_contract.py
@@ -17,8 +17,14 @@
 from slipbay.back import http, mysql, pool
 from slipbay.emulator.tier import Tier
 
-WEIGHTS = {"connect": 8, "arrive": 5, "answer": 4, "another": 8, "wait": 2,
-           "dawdle": 3}  # others 1: most get to an engine
+WEIGHTS = {
+    "connect": 8,
+    "arrive": 5,
+    "answer": 4,
+    "another": 8,
+    "wait": 2,
+    "dawdle": 3,
+}  # others 1: most get to an engine
 SMOOTH = ("connect", "arrive", "answer")  # moves that nothing goes wrong with
 STOPS = (Outcome.CANCELLED, Outcome.TIMEOUT)  # as which the core calls off
 TENDED_US = 100_000  # in which what is called off ends then, if the engine does at once what it is asked
@@ -40,8 +46,11 @@
         self.ends += 1
         held(self.ends == 1, "E1", "it ended twice")
         held(not outcome.proves_unrun or not model.sent or model.turned_away, "E2", f"{outcome} of what left")
-        held(outcome is not Outcome.OK or model.made is not None and result == model.made, "E5",
-             f"{result!r} for {model.made!r}")
+        held(
+            outcome is not Outcome.OK or model.made is not None and result == model.made,
+            "E5",
+            f"{result!r} for {model.made!r}",
+        )
         held(outcome not in STOPS or outcome is model.stopped, "E5", f"{outcome} of {model.stopped}")
 
     @initialize(data=st.data())
@@ -57,8 +66,11 @@
     def move(self, data: st.DataObject) -> None:
         """What may happen; an end and a stop may cross."""
         draw, model = drawing(data), self.model
-        moves: Moves = {**model.moves(), "stop": lambda draw: model.stop(draw(STOPS)),
-                        "wait": lambda draw: model.wait(draw((1, 50, 260, 1100, 2400)) * 1000)}
+        moves: Moves = {
+            **model.moves(),
+            "stop": lambda draw: model.stop(draw(STOPS)),
+            "wait": lambda draw: model.wait(draw((1, 50, 260, 1100, 2400)) * 1000),
+        }
         if self.ends:
             moves["another"] = self.another
         elif self.smooth:
@@ -95,8 +107,11 @@
 
 
 EXCHANGES: dict[str, tuple[Make, int]] = {  # and how many histories
-    "HTTP": (HttpModel, 300), "HTTP, hasty": (HastyModel, 300), "MySQL": (MysqlModel, 300),
-    "emulator": (EmulatedModel, 50)}
+    "HTTP": (HttpModel, 300),
+    "HTTP, hasty": (HastyModel, 300),
+    "MySQL": (MysqlModel, 300),
+    "emulator": (EmulatedModel, 50),
+}
 
 
 # Broken exchanges
@@ -211,10 +226,28 @@
             self.engines[name].runs[number] = run
 
 
-BROKEN = (EndsTwice, TakesCutsForUnsent, NeverGivesUp, LooksLate, Believes, ProvesNothing, DeletesUnasked,
-          HearsTooSoon, FirstPage, TellsTheLast, SendsAgain, Confuses, RunsOn)
-PLACES = ((EmulatedModel, Tier, "tier_type"), (HastyModel, HearsTooSoon, "exchange_type"),
-          (HttpModel, http.HttpExchange, "exchange_type"), (MysqlModel, mysql.MysqlExchange, "exchange_type"))
+BROKEN = (
+    EndsTwice,
+    TakesCutsForUnsent,
+    NeverGivesUp,
+    LooksLate,
+    Believes,
+    ProvesNothing,
+    DeletesUnasked,
+    HearsTooSoon,
+    FirstPage,
+    TellsTheLast,
+    SendsAgain,
+    Confuses,
+    RunsOn,
+)
+PLACES = (
+    (EmulatedModel, Tier, "tier_type"),
+    (HastyModel, HearsTooSoon, "exchange_type"),
+    (HttpModel, http.HttpExchange, "exchange_type"),
+    (MysqlModel, mysql.MysqlExchange, "exchange_type"),
+)
 
 test_an_exchange_keeps_the_contract, test_the_contract_finds_the_broken_obligation = suite(
-    ExchangeContract, EXCHANGES, BROKEN, 40, lambda part: with_part(part, PLACES))
+    ExchangeContract, EXCHANGES, BROKEN, 40, lambda part: with_part(part, PLACES)
+)
--- a/tests/contracts/test_front_contract.py
+++ b/tests/contracts/test_front_contract.py
@@ -57,7 +57,7 @@
         """Bytes come in two pieces."""
         for piece in (data[:cut], data[cut:]):
             if piece and not self.transport.closing:
-                self.connection.get_buffer(-1)[:len(piece)] = piece
+                self.connection.get_buffer(-1)[: len(piece)] = piece
                 self.connection.buffer_updated(len(piece))
                 self.loop.settle()
 
@@ -116,15 +116,23 @@
     @rule(ahead=st.integers(-2, 3), cut=st.integers(0, 60), bad=st.booleans())
     def send(self, ahead: int, cut: int, bad: bool) -> None:
         id = max(1, self.last_id + ahead)
-        message = {"jsonrpc": "2.0", "id": id, "method": "lookup", "params": {
-            "txn": f"{id:016x}", "limit": -1 if bad else 100, "data": base64.b64encode(b"SELECT 1").decode()}}
+        message = {
+            "jsonrpc": "2.0",
+            "id": id,
+            "method": "lookup",
+            "params": {
+                "txn": f"{id:016x}",
+                "limit": -1 if bad else 100,
+                "data": base64.b64encode(b"SELECT 1").decode(),
+            },
+        }
         before, open_before = len(self.sent), len(self.open)
         if self.transport.closing:
             return
         self.receive(json.dumps(message).encode() + b"\n", cut)
         if id <= self.last_id or bad or open_before >= MOST_OPEN:
             told = json.loads(self.sent[before:] or b"{}")
-            codes = (-32600, -32602, -32002)[:2 + self.server.leaving]
+            codes = (-32600, -32602, -32002)[: 2 + self.server.leaving]
             held(told.get("id") == id and told["error"]["code"] in codes, "F3", str(told))
         elif self.server.leaving:
             held(json.loads(self.sent[before:])["error"]["code"] == -32002, "F3", "taken on the way out")
@@ -132,8 +140,9 @@
             held(len(self.open) == open_before + 1 and len(self.sent) == before, "F1", "it is not open")
         self.last_id = max(self.last_id, id)
 
-    @rule(index=st.integers(0, 40),
-          how=st.sampled_from((Served(b"a\tb\tc\n"), Refused(250_000), Failed("x"))))
+    @rule(
+        index=st.integers(0, 40), how=st.sampled_from((Served(b"a\tb\tc\n"), Refused(250_000), Failed("x")))
+    )
     @precondition(lambda self: self.open)
     def one_answer(self, index: int, how: Answer) -> None:
         before = len(self.sent)
@@ -160,8 +169,13 @@
     def make(self) -> Connection:
         self.waiting = 0
         self.identity = None
-        self.mysql = SimpleNamespace(schema="", hint="slipbay", most_packet_bytes=1000, idle_us=1, users={
-            "office": SimpleNamespace(password=b"", tenant=0)})
+        self.mysql = SimpleNamespace(
+            schema="",
+            hint="slipbay",
+            most_packet_bytes=1000,
+            idle_us=1,
+            users={"office": SimpleNamespace(password=b"", tenant=0)},
+        )
         self.core = self
         front: Any = self
         connection: Connection = self.kind(self.server, front)
@@ -170,14 +184,24 @@
     def next_number(self) -> int:
         return 1
 
-    def request(self, work: mysql.Work, outline: sql.Outline, tenant: int,
-                client: MysqlConnection) -> Request:
+    def request(
+        self, work: mysql.Work, outline: sql.Outline, tenant: int, client: MysqlConnection
+    ) -> Request:
         return Request(TXN, 0, 1000, work, client, SimpleNamespace())
 
     def __init__(self) -> None:
         super().__init__()
-        self.receive(packet(1, mysql.login(mysql.Login(
-            mysql.CAPABILITIES & ~mysql.CONNECT_WITH_DB, 45, "office", b"", "", mysql.CACHING_SHA2))), 20)
+        self.receive(
+            packet(
+                1,
+                mysql.login(
+                    mysql.Login(
+                        mysql.CAPABILITIES & ~mysql.CONNECT_WITH_DB, 45, "office", b"", "", mysql.CACHING_SHA2
+                    )
+                ),
+            ),
+            20,
+        )
         held(self.sent.endswith(packet(2, mysql.ok())), "F1", "no welcome")
 
     @rule(cut=st.integers(0, 12))
@@ -195,8 +219,16 @@
         self.receive(packet(0, b"\x0e"), 2)
         held(self.sent[before:] == packet(1, mysql.ok()), "F1", "no answer to a ping")
 
-    @rule(how=st.sampled_from((Refused(250_000), Failed("x"), Failed("x", late=True), Served(
-        [b"\1", column("a"), EOF, text("x"), EOF]))))
+    @rule(
+        how=st.sampled_from(
+            (
+                Refused(250_000),
+                Failed("x"),
+                Failed("x", late=True),
+                Served([b"\1", column("a"), EOF, text("x"), EOF]),
+            )
+        )
+    )
     @precondition(lambda self: self.open)
     def one_answer(self, how: Answer) -> None:
         before = len(self.sent)
@@ -267,4 +299,5 @@
 PLACES = ((JsonRpc, JsonRpcConnection, "kind"), (Mysql, MysqlConnection, "kind"))
 
 test_a_front_keeps_the_contract, test_the_contract_finds_the_broken_obligation = suite(
-    None, FRONTS, BROKEN, 40, lambda part: with_part(part, PLACES))
+    None, FRONTS, BROKEN, 40, lambda part: with_part(part, PLACES)
+)
--- a/tests/contracts/test_store_contract.py
+++ b/tests/contracts/test_store_contract.py
@@ -25,8 +25,11 @@
 Contents = dict[bytes, bytes]
 KEYS = st.sampled_from([b"a", b"b", b"c", b"long" * 9])
 Fault: TypeAlias = tuple[str, int, int]  # kind of call, how many do well before, error
-FAULTS = st.tuples(st.sampled_from(["append", "sync", "create", "rename", "sync_folder"]), st.integers(0, 3),
-                   st.sampled_from([errno.ENOSPC, errno.EIO]))
+FAULTS = st.tuples(
+    st.sampled_from(["append", "sync", "create", "rename", "sync_folder"]),
+    st.integers(0, 3),
+    st.sampled_from([errno.ENOSPC, errno.EIO]),
+)
 CHANGES = st.lists(st.tuples(KEYS, st.none() | st.binary(max_size=90)), min_size=1, max_size=4)
 
 
@@ -217,7 +220,7 @@
 
         def commit(self, changes: list[Change], must: bool = False) -> None:
             if self.medium.full:
-                self.medium.unsynced = changes[:len(changes) // 2]
+                self.medium.unsynced = changes[: len(changes) // 2]
                 raise CannotWrite("no space left")
             self.medium.synced += changes
             self.medium.unsynced = []
@@ -342,8 +345,12 @@
     def it_holds_what_was_acknowledged(self) -> None:
         held(self._contents() == self.model, "S2", f"want {self.model}, {self._contents()} is there")
         if isinstance(self.store, Store):
-            held(self.store.live_bytes == sum(frame.FRAME_BYTES + len(key) + len(value)
-                                              for key, value in self.model.items()), "S2", "it counts others")
+            held(
+                self.store.live_bytes
+                == sum(frame.FRAME_BYTES + len(key) + len(value) for key, value in self.model.items()),
+                "S2",
+                "it counts others",
+            )
 
     def _open(self, number: str) -> None:
         try:
@@ -360,7 +367,10 @@
 
 
 STORES: dict[str, tuple[Callable[[], Medium], int]] = {  # how it is made, and how many histories
-    "simulated disk": (Simulated, 150), "folder": (RealFolder, 6), "memory": (Memory, 20)}
+    "simulated disk": (Simulated, 150),
+    "folder": (RealFolder, 6),
+    "memory": (Memory, 20),
+}
 
 
 # Broken stores
@@ -470,12 +480,24 @@
 
     def open(self) -> Store:
         self.disk.remove(next(iter(self.disk.files))) if manifest.NAME in self.disk.files and (
-            self.disk.files[manifest.NAME].data == NEWER) else None
+            self.disk.files[manifest.NAME].data == NEWER
+        ) else None
         return super().open()
 
 
-BROKEN = (NoSync, NoFolderSync, LiesWhenFull, NoLock, ClosesForGood, FirstValueWins, LaterFirst,
-          CompactionRevives, ReadsAnyFormat, ChangesWhatItRefuses)
+BROKEN = (
+    NoSync,
+    NoFolderSync,
+    LiesWhenFull,
+    NoLock,
+    ClosesForGood,
+    FirstValueWins,
+    LaterFirst,
+    CompactionRevives,
+    ReadsAnyFormat,
+    ChangesWhatItRefuses,
+)
 
 test_a_store_keeps_its_contract, test_the_contract_finds_the_broken_obligation = suite(
-    StoreContract, STORES, BROKEN)
+    StoreContract, STORES, BROKEN
+)
--- a/tests/contracts/test_time_contract.py
+++ b/tests/contracts/test_time_contract.py
@@ -211,8 +211,11 @@
         if self.broken is not None:
             raise self.broken
         for number, (when, _, _) in enumerate(self.noted):
-            held(number in self.fired or number in self.off or when > before + us, "T4",
-                 f"it is due since {after - when} us and did not fire")
+            held(
+                number in self.fired or number in self.off or when > before + us,
+                "T4",
+                f"it is due since {after - when} us and did not fire",
+            )
         fired = [number for number in self.fired[mark:] if not self.noted[number][1]]
         order = [(self.noted[number][0], number) for number in fired]
         held(order == sorted(order), "T2", f"out of order: {order}")
@@ -236,7 +239,10 @@
 
 
 TIMES: dict[str, tuple[type[Time], int]] = {  # and how many histories
-    "real loop": (RealLoop, 25), "simulated loop": (SimulatedLoop, 100), "agenda": (EmulatorAgenda, 100)}
+    "real loop": (RealLoop, 25),
+    "simulated loop": (SimulatedLoop, 100),
+    "agenda": (EmulatorAgenda, 100),
+}
 
 
 # Broken clocks and timers
@@ -312,4 +318,5 @@
 PLACES = ((SimulatedLoop, Timers, "timers"), (EmulatorAgenda, Agenda, "agenda"), (RealLoop, Clock, "clock"))
 
 test_a_clock_with_its_timers_keeps_the_contract, test_the_contract_finds_the_broken_obligation = suite(
-    TimeContract, TIMES, BROKEN, broken=lambda part: with_part(part, PLACES))
+    TimeContract, TIMES, BROKEN, broken=lambda part: with_part(part, PLACES)
+)
