--- a/tests/exchange_models.py
+++ b/tests/exchange_models.py
@@ -63,13 +63,21 @@
 class Attempt:
     """Stands in for the core's."""
 
-    def __init__(self, now: int, work: object, check: Check = anything,
-                 expires_in_us: int = 20_000_000) -> None:
+    def __init__(
+        self, now: int, work: object, check: Check = anything, expires_in_us: int = 20_000_000
+    ) -> None:
         self.check = check
         self.engine, self.number, self.sent = ENGINE, 0, now
-        self.request = SimpleNamespace(name="9b1f03aa5c7e2d41", service_class=0, priority=1, grant_mb=0.0,
-                                       expires_in_us=expires_in_us, deadline=now + expires_in_us,
-                                       work=work, over=False)
+        self.request = SimpleNamespace(
+            name="9b1f03aa5c7e2d41",
+            service_class=0,
+            priority=1,
+            grant_mb=0.0,
+            expires_in_us=expires_in_us,
+            deadline=now + expires_in_us,
+            work=work,
+            over=False,
+        )
         self.ends: list[tuple[Outcome, Any]] = []
 
     def ended(self, outcome: Outcome, result: object = None) -> None:
@@ -195,7 +203,7 @@
 
     def bring(self, transport: FakeTransport, data: bytes) -> None:
         if data and not transport.closing:
-            transport.stream.get_buffer(-1)[:len(data)] = data
+            transport.stream.get_buffer(-1)[: len(data)] = data
             transport.stream.buffer_updated(len(data))
             self.loop.settle()
 
@@ -274,7 +282,8 @@
             moves["spoil"] = lambda draw: self.spoil(draw(range(10)), draw(sorted(SPOILT)))
         if self.calls:
             moves["answer"] = lambda draw: self.answer(
-                draw(range(10)), draw(sorted(ANSWERS)), draw((b"", INTERIM)), draw((b"", *SURPLUS)))
+                draw(range(10)), draw(sorted(ANSWERS)), draw((b"", INTERIM)), draw((b"", *SURPLUS))
+            )
         return moves
 
     def written(self, transport: FakeTransport, data: bytes) -> None:
@@ -358,14 +367,22 @@
 
 ROWS = [b"\1", b"\3def", mysql.eof(), b"\1x", mysql.eof()]
 SAID = {  # how a statement ends, and the packets of the answer
-    "rows": ROWS, "done": [mysql.ok()], "mistake": [mysql.err(1064, "syntax")],
-    "interrupted": [mysql.err(mysql.ER_QUERY_INTERRUPTED, "killed")]}
+    "rows": ROWS,
+    "done": [mysql.ok()],
+    "mistake": [mysql.err(1064, "syntax")],
+    "interrupted": [mysql.err(mysql.ER_QUERY_INTERRUPTED, "killed")],
+}
 TOLD = mysql.Prepared(1, 2, (b"\3def", b"\3def", mysql.eof(), b"\3def", mysql.eof()))
 PREPARED = mysql.Work(b"SELECT ?, ?", mysql.Execution(b"\0", b"\x08\0\xfc\0", bytes(8), {1: b"oil"}))
 PREPARE = mysql.Work(PREPARED.sql, prepare=True)
 WORKS = (  # and where the statement was prepared before
-    (mysql.Work(b"SELECT 1"), ""), (PREPARED, ""), (PREPARED, "here"), (PREPARED, "elsewhere"), (PREPARE, ""),
-    (PREPARE, "here"))
+    (mysql.Work(b"SELECT 1"), ""),
+    (PREPARED, ""),
+    (PREPARED, "here"),
+    (PREPARED, "elsewhere"),
+    (PREPARE, ""),
+    (PREPARE, "here"),
+)
 
 
 class MysqlModel(Wired):
@@ -384,10 +401,12 @@
         self.last = 0  # number given
         self.running: FakeTransport | None = None  # whose thread runs the statement
         self.killed = False  # its thread was told to end
-        config: Any = SimpleNamespace(connect_timeout_us=250_000, idle_us=30_000_000,
-                                      settings=SimpleNamespace(progress_us=1_000_000))
-        login: Any = SimpleNamespace(engines={ENGINE: ("127.0.0.1", 1)}, engine_password=b"oil",
-                                     engine_user="router", schema="")
+        config: Any = SimpleNamespace(
+            connect_timeout_us=250_000, idle_us=30_000_000, settings=SimpleNamespace(progress_us=1_000_000)
+        )
+        login: Any = SimpleNamespace(
+            engines={ENGINE: ("127.0.0.1", 1)}, engine_password=b"oil", engine_user="router", schema=""
+        )
         dialer: Any = self.dialer
         back = MysqlBack(config, login, self.loop.timers, dialer, self.sockets, self.loop.now)
         if before:
@@ -406,7 +425,8 @@
     def runs(self) -> bool:
         on_its_way = any(call == "RUN" for _, call in self.flying)
         return (on_its_way or self.running is not None) and (
-            self.loop.us <= self.attempt.request.deadline + PROVE_US)
+            self.loop.us <= self.attempt.request.deadline + PROVE_US
+        )
 
     @property
     def turned_away(self) -> bool:
@@ -421,8 +441,9 @@
     def moves(self) -> Moves:
         moves = super().moves()
         if self.calls:
-            moves["answer"] = lambda draw: self.answer(draw(range(10)), draw(sorted(SAID)),
-                                                       draw((0, 0, 0, 1, 3, 9)))
+            moves["answer"] = lambda draw: self.answer(
+                draw(range(10)), draw(sorted(SAID)), draw((0, 0, 0, 1, 3, 9))
+            )
         if self.running is not None and (self.killed or self.running.closing):
             moves["vanish"] = lambda draw: self.vanish()
         return moves
@@ -431,8 +452,12 @@
         transport = self.dialer.accept(0)
         self.last += 1
         self.threads[transport] = self.last
-        self.bring(transport, mysql.packets([mysql.greeting(mysql.Greeting(
-            self.last, b"abcdefghijklmnopqrst", mysql.NATIVE))], 0)[0])
+        self.bring(
+            transport,
+            mysql.packets(
+                [mysql.greeting(mysql.Greeting(self.last, b"abcdefghijklmnopqrst", mysql.NATIVE))], 0
+            )[0],
+        )
 
     def written(self, transport: FakeTransport, data: bytes) -> None:
         if data[3]:  # the login
@@ -473,8 +498,11 @@
     def arrives(self, transport: FakeTransport, call: str) -> None:
         if call == "RUN":
             self.running, self.killed = transport, False
-        elif call.startswith("KILL") and self.running is not None and (
-                int(call[5:]) == self.threads[self.running]):
+        elif (
+            call.startswith("KILL")
+            and self.running is not None
+            and (int(call[5:]) == self.threads[self.running])
+        ):
             self.killed = True
 
     def gone(self) -> None:
@@ -496,8 +524,9 @@
             return
         said = [mysql.ok()]
         if call.startswith("KILL"):
-            there = [number for other, number in self.threads.items()
-                     if not other.closing or other is self.running]
+            there = [
+                number for other, number in self.threads.items() if not other.closing or other is self.running
+            ]
             said = said if int(call[5:]) in there else [mysql.err(mysql.ER_NO_SUCH_THREAD, "unknown")]
         elif call == "PREPARE" and how in ("rows", "done"):
             self.last_statement += 1
@@ -508,7 +537,7 @@
             self.end, self.running = how, None
             said = SAID[how]
         data = mysql.packets(said, 1)[0]
-        self.bring(transport, data[:len(data) - short])
+        self.bring(transport, data[: len(data) - short])
         if short:
             transport.close()
             self.hung_up = True
--- a/tests/explore_quota.py
+++ b/tests/explore_quota.py
@@ -51,8 +51,9 @@
     talks: it asks, answers, renews and gives back as the real one does, at any time that a move picks."""
 
     now: int = 0
-    shares: list[Shares] = field(default_factory=lambda: [
-        Shares(CLOCKS, -10 * TERM, TERM, HOME, RESERVE) for _ in range(SIZE)])
+    shares: list[Shares] = field(
+        default_factory=lambda: [Shares(CLOCKS, -10 * TERM, TERM, HOME, RESERVE) for _ in range(SIZE)]
+    )
     lives: list[int] = field(default_factory=lambda: [0] * SIZE)
     tags: list[int] = field(default_factory=lambda: [0] * SIZE)
     flying: list[Flying] = field(default_factory=list)
@@ -99,13 +100,29 @@
         self.shares[me] = Shares(CLOCKS, self.clock(me), TERM, HOME, RESERVE)
 
     def key(self) -> bytes:
-        told = (self.now, [(s.loans, s.lent, s.wakes) for s in self.shares], self.lives, self.tags,
-                sorted(self.flying), self.grants, self.asks, self.faults, self.losses, self.doubles, self.cut)
+        told = (
+            self.now,
+            [(s.loans, s.lent, s.wakes) for s in self.shares],
+            self.lives,
+            self.tags,
+            sorted(self.flying),
+            self.grants,
+            self.asks,
+            self.faults,
+            self.losses,
+            self.doubles,
+            self.cut,
+        )
         return blake2b(repr(told).encode(), digest_size=12).digest()
 
     def copy(self) -> World:
-        return replace(self, shares=[copied(shares) for shares in self.shares], lives=self.lives[:],
-                       tags=self.tags[:], flying=self.flying[:])
+        return replace(
+            self,
+            shares=[copied(shares) for shares in self.shares],
+            lives=self.lives[:],
+            tags=self.tags[:],
+            flying=self.flying[:],
+        )
 
 
 def copied(shares: Shares) -> Shares:
@@ -158,8 +175,9 @@
 
     def settle(self, me: int) -> None:
         now, tenure = self.clock(me), self.tenures[me]
-        self.shares[me].rehome(now, {home: Home(WHOLE - SIZE * RESERVE, now, ends)
-                                     for home, ends in tenure.held(now).items()})
+        self.shares[me].rehome(
+            now, {home: Home(WHOLE - SIZE * RESERVE, now, ends) for home, ends in tenure.held(now).items()}
+        )
         if self.births:
             self._newborn(me)
 
@@ -183,7 +201,8 @@
         """As the machine does after each event."""
         births, tenure = self.births[me], self.tenures[me]
         births.held |= bool(tenure.holder.promises) or any(
-            loan.amount for loan in self.shares[me].loans.values())
+            loan.amount for loan in self.shares[me].loans.values()
+        )
         births.state(lambda: self._drop(me))
         if births.all_new():
             tenure.wake(self.clock(me))
@@ -203,8 +222,19 @@
             amount = min(want, shares.room(now, borrower, length))
             if amount:
                 shares.lend(now, borrower, amount, length)
-                self.send(me, [(said.source, encode(Message(Sort.ANSWER, 0, 0, tag, length // 1000, [
-                    Entry(key, amount, 0, 0.0, 0.0)])))])
+                self.send(
+                    me,
+                    [
+                        (
+                            said.source,
+                            encode(
+                                Message(
+                                    Sort.ANSWER, 0, 0, tag, length // 1000, [Entry(key, amount, 0, 0.0, 0.0)]
+                                )
+                            ),
+                        )
+                    ],
+                )
 
     def restart(self, me: int) -> None:
         self.lives[me] += 1
@@ -272,17 +302,37 @@
         self.send(me, [(lender, encode(Message(Sort.ASK, 0, 0, tag, 0, [Entry(0, kept, want, 0.0, 0.0)])))])
 
     def key(self) -> bytes:
-        told = (self.now, [(s.loans, s.lent, s.homes) for s in self.shares],
-                [(t.warden.books, t.warden.wakes, t.holder.asked, t.holder.promises, t.wants) for t in
-                 self.tenures], self.lives, sorted(self.flying), self.holds, self.grants, self.faults,
-                self.losses, self.doubles, self.cut, self.ends, self.returns,
-                self.tells, [vars(one) for one in self.births])
+        told = (
+            self.now,
+            [(s.loans, s.lent, s.homes) for s in self.shares],
+            [
+                (t.warden.books, t.warden.wakes, t.holder.asked, t.holder.promises, t.wants)
+                for t in self.tenures
+            ],
+            self.lives,
+            sorted(self.flying),
+            self.holds,
+            self.grants,
+            self.faults,
+            self.losses,
+            self.doubles,
+            self.cut,
+            self.ends,
+            self.returns,
+            self.tells,
+            [vars(one) for one in self.births],
+        )
         return blake2b(repr(told).encode(), digest_size=12).digest()
 
     def copy(self) -> Tenures:
-        return replace(self, tenures=[copied_tenure(one) for one in self.tenures], lives=self.lives[:],
-                       shares=[copied(shares) for shares in self.shares], flying=self.flying[:],
-                       births=[copied_births(one) for one in self.births])
+        return replace(
+            self,
+            tenures=[copied_tenure(one) for one in self.tenures],
+            lives=self.lives[:],
+            shares=[copied(shares) for shares in self.shares],
+            flying=self.flying[:],
+            births=[copied_births(one) for one in self.births],
+        )
 
 
 def _tenure(me: int, born: int) -> Tenure:
@@ -336,8 +386,9 @@
 def reborn(restarts: Sequence[int], before: Sequence[Move] = LENT, after: Sequence[Move] = ()) -> Tenures:
     """All state that they have held nothing; the owner has its home, and what is in ``before`` happens. Then
     some begin anew, and all tell all others their lives, and what they state once they know them."""
-    world: World | Tenures = Tenures(births=[Births(me, SIZE, 0) for me in range(SIZE)], tells=20, faults=1,
-                                     grants=4)
+    world: World | Tenures = Tenures(
+        births=[Births(me, SIZE, 0) for me in range(SIZE)], tells=20, faults=1, grants=4
+    )
     pairs = [("tell", me, other) for me in range(SIZE) for other in range(SIZE) if me != other]
     for move in [*pairs, ("hold", 0, 2), *before]:
         world = make(world, move)
@@ -348,8 +399,15 @@
         world.restart(me)
     for move in [*after, *pairs, *pairs]:
         world = make(world, move)
-        while move[0] == "tell" and (said := [place for place, one in enumerate(world.flying) if isinstance(
-                one, Said) and isinstance(word := decode(one.body), Word) and word.sort is Sort.BORN]):
+        while move[0] == "tell" and (
+            said := [
+                place
+                for place, one in enumerate(world.flying)
+                if isinstance(one, Said)
+                and isinstance(word := decode(one.body), Word)
+                and word.sort is Sort.BORN
+            ]
+        ):
             world = make(world, ("deliver", said[0], 0))
     assert isinstance(world, Tenures)
     world.holds, world.tells, world.grants = 3, 3, 2
@@ -465,14 +523,23 @@
     return found
 
 
-def wander(walks: int, seed: int = 1, depth: int = 60, *, tenures: bool = False, ends: int = 0,
-           start: Callable[[], Tenures] | None = None) -> Found:
+def wander(
+    walks: int,
+    seed: int = 1,
+    depth: int = 60,
+    *,
+    tenures: bool = False,
+    ends: int = 0,
+    start: Callable[[], Tenures] | None = None,
+) -> Found:
     """Random walks, far deeper and with more of everything than all orders can be tried for."""
     random, found = Random(seed), Found()
     for _ in range(walks):
-        world: World | Tenures = (Tenures(
-                holds=14, grants=4, faults=3, losses=4, doubles=4, ends=ends, returns=ends) if tenures else
-                 World(grants=6, asks=14, faults=3, losses=4, doubles=4))
+        world: World | Tenures = (
+            Tenures(holds=14, grants=4, faults=3, losses=4, doubles=4, ends=ends, returns=ends)
+            if tenures
+            else World(grants=6, asks=14, faults=3, losses=4, doubles=4)
+        )
         path: list[Move] = []
         if start is not None:
             world = replace(start(), holds=14, grants=4, faults=3, losses=4, doubles=4, tells=24)
@@ -495,24 +562,42 @@
     parser.add_argument("--walks", type=int, default=2_000)
     chosen = parser.parse_args()
     for what, found in (
-            (f"of loans to depth {chosen.depth}", explore(chosen.depth)),
-            (f"of tenures to depth {chosen.depth}", explore(chosen.depth, start=Tenures())),
-            (f"of tenures after the owner's first, to depth {chosen.depth}", explore(
-                chosen.depth, start=begun())),
-            (f"of tenures as the owner's is near its end, to depth {chosen.depth}", explore(
-                chosen.depth, start=begun(4, *LENT))),
-            (f"of tenures that are given back early, to depth {chosen.depth}", explore(
-                chosen.depth, start=begun(1, *LENT, ends=2))),
-            *((f"of lives that began anew: {restarts}, to depth {chosen.depth}", explore(
-                chosen.depth, start=reborn(restarts, LENT[:many]))) for restarts, many in REBORN),
-            (f"of loans on {chosen.walks} random walks", wander(chosen.walks)),
-            (f"of tenures on {chosen.walks} random walks", wander(chosen.walks, tenures=True)),
-            (f"of tenures that are given back early on {chosen.walks} random walks", wander(
-                chosen.walks, tenures=True, ends=3)),
-            (f"of lives that begin anew on {chosen.walks} random walks", wander(
-                chosen.walks, tenures=True, start=lambda: reborn((0, 2))))):
-        print(f"{found.states} states {what}, moves {dict(found.moves)}; at most {found.most} of {WHOLE} "
-              f"usable at once; {found.violation or 'no violation'}")
+        (f"of loans to depth {chosen.depth}", explore(chosen.depth)),
+        (f"of tenures to depth {chosen.depth}", explore(chosen.depth, start=Tenures())),
+        (
+            f"of tenures after the owner's first, to depth {chosen.depth}",
+            explore(chosen.depth, start=begun()),
+        ),
+        (
+            f"of tenures as the owner's is near its end, to depth {chosen.depth}",
+            explore(chosen.depth, start=begun(4, *LENT)),
+        ),
+        (
+            f"of tenures that are given back early, to depth {chosen.depth}",
+            explore(chosen.depth, start=begun(1, *LENT, ends=2)),
+        ),
+        *(
+            (
+                f"of lives that began anew: {restarts}, to depth {chosen.depth}",
+                explore(chosen.depth, start=reborn(restarts, LENT[:many])),
+            )
+            for restarts, many in REBORN
+        ),
+        (f"of loans on {chosen.walks} random walks", wander(chosen.walks)),
+        (f"of tenures on {chosen.walks} random walks", wander(chosen.walks, tenures=True)),
+        (
+            f"of tenures that are given back early on {chosen.walks} random walks",
+            wander(chosen.walks, tenures=True, ends=3),
+        ),
+        (
+            f"of lives that begin anew on {chosen.walks} random walks",
+            wander(chosen.walks, tenures=True, start=lambda: reborn((0, 2))),
+        ),
+    ):
+        print(
+            f"{found.states} states {what}, moves {dict(found.moves)}; at most {found.most} of {WHOLE} "
+            f"usable at once; {found.violation or 'no violation'}"
+        )
 
 
 if __name__ == "__main__":
--- a/tests/explore_view.py
+++ b/tests/explore_view.py
@@ -22,8 +22,18 @@
 
 SIZE, START, STEP = 3, 1_700_000_000 * SECOND, 150_000
 # What takes a second in service takes few moves here.
-QUICK = Timing(probe_us=STEP, answer_us=STEP // 2, tries=1, helpers=1, suspect_us=STEP, patience=1.0,
-               gossip_us=STEP, fan=1, sync_us=2 * STEP, reach_us=2 * STEP)
+QUICK = Timing(
+    probe_us=STEP,
+    answer_us=STEP // 2,
+    tries=1,
+    helpers=1,
+    suspect_us=STEP,
+    patience=1.0,
+    gossip_us=STEP,
+    fan=1,
+    sync_us=2 * STEP,
+    reach_us=2 * STEP,
+)
 HEALED_STEPS = 200  # within which views must be right: 30 s
 
 
@@ -58,8 +68,14 @@
 
     def copy(self) -> World:
         """Members are shared until they are touched."""
-        return replace(self, members=list(self.members), flying=list(self.flying), lives=list(self.lives),
-                       newest=dict(self.newest), marks=list(self.marks))
+        return replace(
+            self,
+            members=list(self.members),
+            flying=list(self.flying),
+            lives=list(self.lives),
+            newest=dict(self.newest),
+            marks=list(self.marks),
+        )
 
     def touch(self, *numbers: int) -> None:
         """Members of its own, as they are to change."""
@@ -118,8 +134,13 @@
 
 def make(world: World, move: tuple[str, int]) -> World:
     after, (what, number) = world.copy(), move
-    touched = [number] if what in ("kill", "start") else list(range(SIZE)) if what == "step" else [
-        target for _, target, _ in world.flying[number:number + 1] if what == "deliver"]
+    touched = (
+        [number]
+        if what in ("kill", "start")
+        else list(range(SIZE))
+        if what == "step"
+        else [target for _, target, _ in world.flying[number : number + 1] if what == "deliver"]
+    )
     after.touch(*touched)
     match what:
         case "deliver":
@@ -205,7 +226,7 @@
                     following.append(after)
         edge = following
     found.states, found.leaves = len(seen), len(edge)
-    for leaf in edge[::max(1, len(edge) // check_leaves)]:
+    for leaf in edge[:: max(1, len(edge) // check_leaves)]:
         if not heals(leaf):
             found.violations.append("5: views do not come right once faults stop")
             break
@@ -218,8 +239,10 @@
     parser.add_argument("--states", type=int, default=100_000)
     chosen = parser.parse_args()
     found = explore(chosen.depth, chosen.states)
-    print(f"{found.states} states, {found.leaves} at the bound, moves {dict(found.moves)}; "
-          f"{len(found.violations)} violations {found.violations}")
+    print(
+        f"{found.states} states, {found.leaves} at the bound, moves {dict(found.moves)}; "
+        f"{len(found.violations)} violations {found.violations}"
+    )
 
 
 if __name__ == "__main__":
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -119,8 +119,9 @@
         self.waiting: list[tuple[Stream, Callable[[int], None]]] = []
         self.transports: list[FakeTransport] = []
 
-    def dial(self, address: object, stream: Stream, timeout_us: int,
-             failed: Callable[[int], None]) -> FakeDialer.One:
+    def dial(
+        self, address: object, stream: Stream, timeout_us: int, failed: Callable[[int], None]
+    ) -> FakeDialer.One:
         self.waiting.append((stream, failed))
         return FakeDialer.One(self, stream)
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -16,9 +16,18 @@
 
 
 def settings(*classes: api.ServiceClass, **changes: Any) -> api.Settings:
-    base = api.Settings(classes=classes or (SAFE,), kind_cores=(8.0, 8.0), max_attempts=3, may_cancel=True,
-                        progress_us=SECOND, ramp_us=10 * SECOND, cold_share=0.4, cold_multiple=2.0,
-                        cold_window_us=SECOND, max_retry_after_us=SECOND)
+    base = api.Settings(
+        classes=classes or (SAFE,),
+        kind_cores=(8.0, 8.0),
+        max_attempts=3,
+        may_cancel=True,
+        progress_us=SECOND,
+        ramp_us=10 * SECOND,
+        cold_share=0.4,
+        cold_multiple=2.0,
+        cold_window_us=SECOND,
+        max_retry_after_us=SECOND,
+    )
     return replace(base, **changes)
 
 
@@ -33,8 +42,11 @@
         self.controller, self.now = Controller(setting, 1), SECOND
         self.actions: list[tuple[int, api.Action]] = []
         self.timers: list[tuple[int, int]] = []
-        entries = ([api.EngineEntry(engine(n)) for n in range(engines)] if isinstance(engines, int)
-                   else list(engines))
+        entries = (
+            [api.EngineEntry(engine(n)) for n in range(engines)]
+            if isinstance(engines, int)
+            else list(engines)
+        )
         self.tell(api.EngineList(api.ListKind.CACHED, tuple(entries)))
 
     def tell(self, *events: api.Event) -> list[api.Action]:
@@ -54,14 +66,35 @@
         self.now = max(self.now, until)
         return [action for _, action in self.actions[mark:]]
 
-    def ask(self, query: int, cost: int | None = 100_000, service_class: int = 0, expires: int = 10 * SECOND,
-            **more: Any) -> list[api.Action]:
+    def ask(
+        self,
+        query: int,
+        cost: int | None = 100_000,
+        service_class: int = 0,
+        expires: int = 10 * SECOND,
+        **more: Any,
+    ) -> list[api.Action]:
         return self.tell(api.QueryArrived(query, service_class, expires, cost, **more))
 
-    def end(self, sent: api.Dispatch, outcome: api.Outcome, attempt: int = 0, work: int | None = None,
-            report: api.LoadReport | None = None) -> list[api.Action]:
-        return self.tell(api.AttemptEnded(sent.query, attempt, sent.engine, outcome,
-                                          complete=outcome is api.Outcome.OK, work_us=work, report=report))
+    def end(
+        self,
+        sent: api.Dispatch,
+        outcome: api.Outcome,
+        attempt: int = 0,
+        work: int | None = None,
+        report: api.LoadReport | None = None,
+    ) -> list[api.Action]:
+        return self.tell(
+            api.AttemptEnded(
+                sent.query,
+                attempt,
+                sent.engine,
+                outcome,
+                complete=outcome is api.Outcome.OK,
+                work_us=work,
+                report=report,
+            )
+        )
 
 
 def sends(actions: Iterable[api.Action]) -> list[api.Dispatch]:
--- a/tests/kill_sweep.py
+++ b/tests/kill_sweep.py
@@ -90,8 +90,10 @@
     faults: list[str] = field(default_factory=list)
 
     def __str__(self) -> str:
-        return (f"{self.kills} kills, {self.loads} loads in {self.tries} tries: {self.served} served, "
-                f"{self.may_have_run} may have run, {self.refused} refusals; {len(self.faults)} faults")
+        return (
+            f"{self.kills} kills, {self.loads} loads in {self.tries} tries: {self.served} served, "
+            f"{self.may_have_run} may have run, {self.refused} refusals; {len(self.faults)} faults"
+        )
 
 
 class Sweep:
@@ -118,13 +120,23 @@
     async def run(self) -> Result:
         await self.http.start()
         await self.mysql.start()
-        store_file(self._folder, segment_mb="0.02", most_mb="1", keep="{ answer_kb = 1 }",
-                   recovery="{ most_s = 5 }", later_ms="10")
-        self.router = RouterProcess(self._folder, {"s-0": self.http.port},
-                                    mysql_file(self._folder, self.mysql))
+        store_file(
+            self._folder,
+            segment_mb="0.02",
+            most_mb="1",
+            keep="{ answer_kb = 1 }",
+            recovery="{ most_s = 5 }",
+            later_ms="10",
+        )
+        self.router = RouterProcess(
+            self._folder, {"s-0": self.http.port}, mysql_file(self._folder, self.mysql)
+        )
         await self.router.start()
-        clients = [asyncio.create_task(self._client(kind, number))
-                   for kind in (self._json_try, self._mysql_try) for number in range(CLIENTS)]
+        clients = [
+            asyncio.create_task(self._client(kind, number))
+            for kind in (self._json_try, self._mysql_try)
+            for number in range(CLIENTS)
+        ]
         while self.result.kills < self.kills:
             await self._wait_for_a_moment()
             await self.router.kill()
@@ -185,8 +197,13 @@
     async def _json_try(self, router: RouterProcess, name: str, tries: int) -> bool:
         client = JsonClient(*await asyncio.open_connection(HOST, router.ports[0]))
         try:
-            client.query("ticket-load", "INSERT INTO sales_1.t VALUES (1)", txn=name, limit=10_000,
-                         **({"second": 1} if self.marks and tries else {}))
+            client.query(
+                "ticket-load",
+                "INSERT INTO sales_1.t VALUES (1)",
+                txn=name,
+                limit=10_000,
+                **({"second": 1} if self.marks and tries else {}),
+            )
             answer = await client.answer()
         finally:
             client.writer.close()
@@ -238,6 +255,7 @@
 
 def sweep(kills: int, seed: int, limit_s: float) -> Result:
     """Run one sweep in a folder of its own."""
+
     async def limited(folder: Path) -> Result:
         started = Sweep(folder, kills, seed)
         try:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -31,31 +31,83 @@
 from slipbay.run import Router
 
 __all__ = [
-    "HOST", "SETTINGS", "TXN", "HttpCall", "JsonClient", "Loopback", "StandInEngine", "StandInJournal",
-    "event", "host", "http_answer", "one_page", "quietly", "run", "serve", "until"]
+    "HOST",
+    "SETTINGS",
+    "TXN",
+    "HttpCall",
+    "JsonClient",
+    "Loopback",
+    "StandInEngine",
+    "StandInJournal",
+    "event",
+    "host",
+    "http_answer",
+    "one_page",
+    "quietly",
+    "run",
+    "serve",
+    "until",
+]
 
 TXN = "9b1f03aa5c7e2d41"
 _txns = 0  # of requests so far: each has its own
 SETTINGS: dict[str, Any] = {
-    "balancers": 1, "me": 0, "zone": 0, "dcs": ["room-a"], "kinds": ["std-8"], "tickUs": 5000,
-    "familyInfo": {"threadsByClass": [1, 2, 2], "isLoad": [False, False, True], "cpuOfKind": [8],
-                   "progressUs": 1_000_000, "lanesCount": True, "blockedByLoads": [False, False, False]},
-    "policyLimits": {"attemptsCap": 4, "connIdleUs": 30_000_000, "connectTimeoutUs": 250_000,
-                     "maxRetryAfterUs": 500_000, "mayCancel": True, "retryAfter": True},
+    "balancers": 1,
+    "me": 0,
+    "zone": 0,
+    "dcs": ["room-a"],
+    "kinds": ["std-8"],
+    "tickUs": 5000,
+    "familyInfo": {
+        "threadsByClass": [1, 2, 2],
+        "isLoad": [False, False, True],
+        "cpuOfKind": [8],
+        "progressUs": 1_000_000,
+        "lanesCount": True,
+        "blockedByLoads": [False, False, False],
+    },
+    "policyLimits": {
+        "attemptsCap": 4,
+        "connIdleUs": 30_000_000,
+        "connectTimeoutUs": 250_000,
+        "maxRetryAfterUs": 500_000,
+        "mayCancel": True,
+        "retryAfter": True,
+    },
     "profiles": [
         {"name": "lookup", "effect": "retryable", "promiseUs": 500_000, "giveUpUs": 2_500_000, "gain": 1.0},
-        {"name": "report", "effect": "retryable", "promiseUs": 2_000_000, "giveUpUs": 20_000_000,
-         "gain": 15.0},
-        {"name": "ticket-load", "effect": "fragile", "promiseUs": 4_000_000, "giveUpUs": 25_000_000,
-         "gain": 15.0}],
+        {
+            "name": "report",
+            "effect": "retryable",
+            "promiseUs": 2_000_000,
+            "giveUpUs": 20_000_000,
+            "gain": 15.0,
+        },
+        {
+            "name": "ticket-load",
+            "effect": "fragile",
+            "promiseUs": 4_000_000,
+            "giveUpUs": 25_000_000,
+            "gain": 15.0,
+        },
+    ],
     "realms": [{"name": "ishikari-fuel"}, {"name": "tokachi-oil"}],
-    "rules": {"answerSlackUs": 20_000, "coldShare": 0.31, "fallMultiple": 3.0, "fallUs": 3_000_000,
-              "rampTimeUs": 13_000_000, "extraFree": 50.0, "repeatRatio": 0.2, "countedOverUs": 10_000_000},
+    "rules": {
+        "answerSlackUs": 20_000,
+        "coldShare": 0.31,
+        "fallMultiple": 3.0,
+        "fallUs": 3_000_000,
+        "rampTimeUs": 13_000_000,
+        "extraFree": 50.0,
+        "repeatRatio": 0.2,
+        "countedOverUs": 10_000_000,
+    },
 }
 
 
 def run(test: Callable[[], Coroutine[Any, Any, None]], seconds: float = 60.0) -> None:
     """Run a test to its end; one that hangs fails."""
+
     async def limited() -> None:
         await asyncio.wait_for(test(), seconds)
 
@@ -86,8 +138,16 @@
         global _txns
         _txns += 1
         self.txn = f"{_txns:016x}"
-        return self.send(method, **{"txn": self.txn, "limit": limit, "cpu": 80.0,
-                                    "data": base64.b64encode(sql.encode()).decode(), **params})
+        return self.send(
+            method,
+            **{
+                "txn": self.txn,
+                "limit": limit,
+                "cpu": 80.0,
+                "data": base64.b64encode(sql.encode()).decode(),
+                **params,
+            },
+        )
 
     async def answer(self) -> dict[str, Any]:
         line = await self.reader.readline()
@@ -103,17 +163,28 @@
 class Loopback:
     """A router with its engines."""
 
-    def __init__(self, *engines: StandInEngine, mysql_file: Path | None = None,
-                 store_file: Path | None = None) -> None:
+    def __init__(
+        self, *engines: StandInEngine, mysql_file: Path | None = None, store_file: Path | None = None
+    ) -> None:
         self.engines, self.journal, self._mysql_file = engines, StandInJournal(), mysql_file
         self._store_file = store_file
         self.settings = SETTINGS
 
     def config(self, hosts: list[dict[str, Any]]) -> Config:
-        config = from_json(json.dumps({
-            "name": "n0", "listen": f"{HOST}:0", "seed": "1", "journal": f"{HOST}:{self.journal.port}",
-            "limits": {"cores": 1, "memory_mb": 192, "sockets": 1024},
-            "known": {"pos": 1, "entries": [event(1, *hosts, whole=True)]}, "settings": self.settings}), {})
+        config = from_json(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": f"{HOST}:0",
+                    "seed": "1",
+                    "journal": f"{HOST}:{self.journal.port}",
+                    "limits": {"cores": 1, "memory_mb": 192, "sockets": 1024},
+                    "known": {"pos": 1, "entries": [event(1, *hosts, whole=True)]},
+                    "settings": self.settings,
+                }
+            ),
+            {},
+        )
         if self._store_file is not None:
             config = replace(config, store=load_store(config, self._store_file))
         if self._mysql_file is not None:
--- a/tests/lose_sweep.py
+++ b/tests/lose_sweep.py
@@ -28,8 +28,10 @@
 from slipbay.store.frame import HEAD_BYTES
 
 WINDOW_S, PATIENCE_S = 12.0, 3.0
-ON = (f'{{ enabled = true, repeat_window_s = {WINDOW_S}, marked = ["jsonrpc"], anywhere = true, '
-      'marker = "marker" }')
+ON = (
+    f'{{ enabled = true, repeat_window_s = {WINDOW_S}, marked = ["jsonrpc"], anywhere = true, '
+    'marker = "marker" }'
+)
 FAULTS = ("kept", "lost", "put back", "cut")
 WEIGHTS = (4, 2, 2, 2)
 
@@ -59,18 +61,30 @@
         for number in range(2):
             folder = self._folder / str(number)
             folder.mkdir()
-            store_file(folder, segment_mb="0.02", most_mb="1", keep="{ answer_kb = 1 }",
-                       recovery="{ most_s = 5 }", later_ms="10", **({"loss": ON} if self.on else {}))
+            store_file(
+                folder,
+                segment_mb="0.02",
+                most_mb="1",
+                keep="{ answer_kb = 1 }",
+                recovery="{ most_s = 5 }",
+                later_ms="10",
+                **({"loss": ON} if self.on else {}),
+            )
             if self.on:  # the first start is an operator's word
                 (folder / "data").mkdir()
-                adopted = CliRunner().invoke(main, ["store", "adopt", str(folder / "data"),
-                                                    "--because", "a first start"])
+                adopted = CliRunner().invoke(
+                    main, ["store", "adopt", str(folder / "data"), "--because", "a first start"]
+                )
                 assert adopted.exit_code == 0, adopted.output
-            self.routers.append(RouterProcess(folder, {"s-0": self.http.port},
-                                              mysql_file(folder, self.mysql)))
+            self.routers.append(
+                RouterProcess(folder, {"s-0": self.http.port}, mysql_file(folder, self.mysql))
+            )
         await asyncio.gather(*(router.start() for router in self.routers))
-        clients = [asyncio.create_task(self._client(kind, number))
-                   for kind in (self._json_try, self._mysql_try) for number in range(CLIENTS)]
+        clients = [
+            asyncio.create_task(self._client(kind, number))
+            for kind in (self._json_try, self._mysql_try)
+            for number in range(CLIENTS)
+        ]
         while self.result.kills < self.kills and (self.on or self.most_runs() < 2):
             at = self.breaks.randrange(2)
             self.router = self.routers[at]
@@ -86,8 +100,12 @@
         for router in self.routers:
             if await router.end() != 0:
                 self.result.faults.append("a router did not end with 0")
-        self.result.faults += [f"{name!r}: ran {runs} times" for ran in (self.http.runs, self.mysql.executed)
-                               for name, runs in ran.items() if runs > 1]
+        self.result.faults += [
+            f"{name!r}: ran {runs} times"
+            for ran in (self.http.runs, self.mysql.executed)
+            for name, runs in ran.items()
+            if runs > 1
+        ]
         self.http.server.close()
         self.mysql.server.close()
         return self.result
@@ -132,6 +150,7 @@
 
 def sweep(kills: int, seed: int, limit_s: float, on: bool = True) -> tuple[Result, Counter[str]]:
     """Run one sweep in a folder of its own. Without ``on`` it ends with the first fault."""
+
     async def limited(folder: Path) -> tuple[Result, Counter[str]]:
         started = LoseSweep(folder, kills, seed, on)
         try:
--- a/tests/mysql_standins.py
+++ b/tests/mysql_standins.py
@@ -85,9 +85,20 @@
         try:
             await self.fault("accepted")
             challenge = b"abcdefghijklmnopqrst"
-            writer.write(packet(0, b"\x0a8.0.36\0" + struct.pack("<I", thread) + challenge[:8] + b"\0"
-                                + b"\x08\x82\x2d\2\0\x08\0\x15" + bytes(10) + challenge[8:] + b"\0"
-                                + b"caching_sha2_password\0"))
+            writer.write(
+                packet(
+                    0,
+                    b"\x0a8.0.36\0"
+                    + struct.pack("<I", thread)
+                    + challenge[:8]
+                    + b"\0"
+                    + b"\x08\x82\x2d\2\0\x08\0\x15"
+                    + bytes(10)
+                    + challenge[8:]
+                    + b"\0"
+                    + b"caching_sha2_password\0",
+                )
+            )
             sequence, login = await read_packet(reader)
             assert scramble(SECRET, challenge) in login
             writer.write(numbered(sequence + 1, b"\1\3", OK))
@@ -98,8 +109,9 @@
             if thread not in self.running:  # else it runs on, unheard, until it is killed
                 self.threads.pop(thread, None)
 
-    async def _commands(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
-                        thread: int) -> None:
+    async def _commands(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, thread: int
+    ) -> None:
         statements: dict[int, bytes] = {}
         while True:
             _, command = await read_packet(reader)
@@ -113,9 +125,14 @@
                 statements[number] = rest
                 self.prepared.append(rest)
                 count = rest.count(b"?")
-                writer.write(numbered(
-                    1, b"\0" + struct.pack("<IHHxH", number, 0, count, 0),
-                    *([column("?")] * count), *([EOF] if count else [])))
+                writer.write(
+                    numbered(
+                        1,
+                        b"\0" + struct.pack("<IHHxH", number, 0, count, 0),
+                        *([column("?")] * count),
+                        *([EOF] if count else []),
+                    )
+                )
             elif code == 0x17:
                 await self.fault("execute")
                 statement = statements[struct.unpack("<I", rest[:4])[0]]
@@ -123,8 +140,17 @@
             elif code == 0x03 and rest.startswith(b"KILL "):
                 self._kill(writer, int(rest[5:]))
             elif code == 0x03 and b"'Uptime'" in rest:
-                writer.write(numbered(1, b"\2", column("Variable_name"), column("Value"), EOF,
-                                      text("Uptime") + text(str(self.uptime_s)), EOF))
+                writer.write(
+                    numbered(
+                        1,
+                        b"\2",
+                        column("Variable_name"),
+                        column("Value"),
+                        EOF,
+                        text("Uptime") + text(str(self.uptime_s)),
+                        EOF,
+                    )
+                )
             elif code == 0x03:
                 await self.fault("execute")
                 await self._run(writer, thread, rest)
@@ -170,22 +196,38 @@
         self.reader, self.writer = reader, writer
 
     @classmethod
-    async def connect(cls, port: int, user: str = "office", password: bytes = SECRET, database: str = "",
-                      tls: ssl.SSLContext | None = None, charset: int = 45) -> MysqlClient:
+    async def connect(
+        cls,
+        port: int,
+        user: str = "office",
+        password: bytes = SECRET,
+        database: str = "",
+        tls: ssl.SSLContext | None = None,
+        charset: int = 45,
+    ) -> MysqlClient:
         reader, writer = await asyncio.open_connection(HOST, port)
         client = cls(reader, writer)
         _, greeting = await read_packet(reader)
         end = greeting.index(b"\0", 1) + 1
-        challenge = greeting[end + 4:end + 12] + greeting[end + 31:end + 43]
+        challenge = greeting[end + 4 : end + 12] + greeting[end + 31 : end + 43]
         flags, sequence = 0x00288201 | (0x800 if tls else 0) | (8 if database else 0), 1
         if tls is not None:
             writer.write(packet(1, struct.pack("<IIB23x", flags, 1 << 24, charset)))
             await writer.start_tls(tls)
             sequence = 2
         proof = scramble(password, challenge)
-        writer.write(packet(sequence, struct.pack("<IIB23x", flags, 1 << 24, charset) + user.encode() + b"\0"
-                            + bytes([len(proof)]) + proof + (database.encode() + b"\0" if database else b"")
-                            + b"caching_sha2_password\0"))
+        writer.write(
+            packet(
+                sequence,
+                struct.pack("<IIB23x", flags, 1 << 24, charset)
+                + user.encode()
+                + b"\0"
+                + bytes([len(proof)])
+                + proof
+                + (database.encode() + b"\0" if database else b"")
+                + b"caching_sha2_password\0",
+            )
+        )
         while True:
             _, payload = await read_packet(reader)
             if payload[0] == 0xFF:
@@ -232,9 +274,15 @@
 
     def send_execute(self, statement: int, *values: str, bind: bool = True, cursor: int = 0) -> None:
         nulls = bytes((len(values) + 7) // 8)
-        self.command(0x17, struct.pack("<IBI", statement, cursor, 1) + (
-            nulls + (b"\1" + b"\xfd\0" * len(values) if bind else b"\0")
-            + b"".join(map(text, values)) if values else b""))
+        self.command(
+            0x17,
+            struct.pack("<IBI", statement, cursor, 1)
+            + (
+                nulls + (b"\1" + b"\xfd\0" * len(values) if bind else b"\0") + b"".join(map(text, values))
+                if values
+                else b""
+            ),
+        )
 
     async def execute(self, statement: int, *values: str, **how: Any) -> list[bytes]:
         self.send_execute(statement, *values, **how)
--- a/tests/obligations.py
+++ b/tests/obligations.py
@@ -24,12 +24,25 @@
         raise Broken(number, told)
 
 
-def keeps(machine: type[RuleBasedStateMachine], examples: int, steps: int = 30,
-          phases: tuple[Phase, ...] = (Phase.generate, Phase.shrink)) -> None:
+def keeps(
+    machine: type[RuleBasedStateMachine],
+    examples: int,
+    steps: int = 30,
+    phases: tuple[Phase, ...] = (Phase.generate, Phase.shrink),
+) -> None:
     """Drive a machine with the same choices every time; raises what it finds, made small."""
-    run_state_machine_as_test(machine, settings=settings(
-        max_examples=examples, stateful_step_count=steps, deadline=None, derandomize=True, database=None,
-        phases=phases, report_multiple_bugs=False))
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=steps,
+            deadline=None,
+            derandomize=True,
+            database=None,
+            phases=phases,
+            report_multiple_bugs=False,
+        ),
+    )
 
 
 def found_by(run: Callable[[], object]) -> str:
@@ -47,12 +60,17 @@
     return found_by(lambda: keeps(machine, examples, steps, (Phase.generate,)))
 
 
-def suite(contract: type[RuleBasedStateMachine] | None, implementations: Mapping[str, tuple[Any, int]],
-          faulty: Iterable[type], steps: int = 30, broken: Callable[[type], Any] = lambda part: part,
-          ) -> tuple[Callable[..., None], Callable[..., None]]:
+def suite(
+    contract: type[RuleBasedStateMachine] | None,
+    implementations: Mapping[str, tuple[Any, int]],
+    faulty: Iterable[type],
+    steps: int = 30,
+    broken: Callable[[type], Any] = lambda part: part,
+) -> tuple[Callable[..., None], Callable[..., None]]:
     """The two tests of a contract: each implementation keeps it in so many histories, and each faulty part,
     made an implementation by ``broken``, breaks the obligation that its docstring begins with. A contract
     takes what it drives from its ``make``; without one the implementations are machines themselves."""
+
     def machine(make: Any) -> type[RuleBasedStateMachine]:
         return type("Machine", (contract,), {"make": staticmethod(make)}) if contract else make
 
@@ -71,5 +89,6 @@
 
 def with_part(part: type, places: Iterable[tuple[type, type, str]]) -> type:
     """A subclass of the first of ``places`` whose kind of part it is, with the part in it."""
-    return next(type(part.__name__, (base,), {name: part}) for base, of, name in places
-                if issubclass(part, of))
+    return next(
+        type(part.__name__, (base,), {name: part}) for base, of, name in places if issubclass(part, of)
+    )
--- a/tests/quota_histories.py
+++ b/tests/quota_histories.py
@@ -11,8 +11,9 @@
 RATE, BURST = 200.0, 60.0
 
 
-def plan_of(version: int = 1, rate: float = RATE, burst: float = BURST, term_ms: int = 1_000,
-            **more: object) -> Plan:
+def plan_of(
+    version: int = 1, rate: float = RATE, burst: float = BURST, term_ms: int = 1_000, **more: object
+) -> Plan:
     quota = Quota("q", rate, burst, **more)  # type: ignore[arg-type]
     return Plan(version, [quota], term_ms=term_ms, longest_ms=term_ms)
 
@@ -21,30 +22,51 @@
     """One thing that breaks, heals or moves."""
     routers, size = fleet.routers, fleet.size
     some = random.sample(range(size), random.randint(1, size))
-    what = random.choice(["kill", "kill", "start", "start", "restart", "end", "all", "cut", "cut", "one way",
-                          "heal", "heal", "heal", "stop", "go on", "leap", "weather", "demand", "demand"])
+    what = random.choice(
+        [
+            "kill",
+            "kill",
+            "start",
+            "start",
+            "restart",
+            "end",
+            "all",
+            "cut",
+            "cut",
+            "one way",
+            "heal",
+            "heal",
+            "heal",
+            "stop",
+            "go on",
+            "leap",
+            "weather",
+            "demand",
+            "demand",
+        ]
+    )
     match what:
         case "kill":
-            routers.kill(some[:max(1, size // 3)])
+            routers.kill(some[: max(1, size // 3)])
         case "start":
             routers.start([me for me in some if routers.muxes[me] is None])
         case "restart":
-            routers.kill(some[:max(1, size // 3)])
-            routers.start(some[:max(1, size // 3)])
+            routers.kill(some[: max(1, size // 3)])
+            routers.start(some[: max(1, size // 3)])
         case "end":
-            fleet.end(some[:max(1, size // 3)], 700_000)
+            fleet.end(some[: max(1, size // 3)], 700_000)
             fleet.run(random.choice([0.65, 0.7, 1.5]))
-            routers.kill(some[:max(1, size // 3)])
-            routers.start(some[:max(1, size // 3)])
+            routers.kill(some[: max(1, size // 3)])
+            routers.start(some[: max(1, size // 3)])
         case "all" if random.random() < 0.4:
             routers.kill(range(size))
             routers.start()
         case "cut" | "one way":
-            routers.network.cut(some[:size // 2], some[size // 2:], both=what == "cut")
+            routers.network.cut(some[: size // 2], some[size // 2 :], both=what == "cut")
         case "heal":
             routers.network.heal()
         case "stop":
-            for me in some[:max(1, size // 4)]:
+            for me in some[: max(1, size // 4)]:
                 routers.stop(me)
         case "go on":
             for me in list(routers.stopped):
@@ -56,8 +78,9 @@
                     routers.jump(me, CLOCKS.jump_us)
         case "weather":
             late = random.choice([20_000, 100_000, 800_000])
-            routers.network.weather = Weather(2_000, late, random.choice([0.0, 0.1, 0.3]),
-                                              random.choice([0.0, 0.3]))
+            routers.network.weather = Weather(
+                2_000, late, random.choice([0.0, 0.1, 0.3]), random.choice([0.0, 0.3])
+            )
         case "demand":
             rates = zipf(size, RATE * random.choice([0.5, 1.2, 3.0]), random.choice([0.0, 1.0, 4.0]))
             random.shuffle(rates)
@@ -65,13 +88,13 @@
     return what
 
 
-def history(size: int, seed: int, steps: int, plan: Plan | None = None,
-            news: int = 0) -> tuple[QuotaFleet, float, float]:
+def history(
+    size: int, seed: int, steps: int, plan: Plan | None = None, news: int = 0
+) -> tuple[QuotaFleet, float, float]:
     """The fleet as it ends, the most that any window passed ``rate x t`` by, and the bound of that."""
     random, plan = Random(seed), plan or plan_of()
     quota = plan.quotas[0]
-    fleet = QuotaFleet(size, plan, {"q": zipf(size, RATE * 1.5)}, seed, drift_ppm=CLOCKS.drift_ppm,
-                       news=news)
+    fleet = QuotaFleet(size, plan, {"q": zipf(size, RATE * 1.5)}, seed, drift_ppm=CLOCKS.drift_ppm, news=news)
     leapt: dict[int, int] = {}
     fleet.run(3)
     for _ in range(steps):
@@ -101,5 +124,9 @@
     since = fleet.now
     fleet.run(4)
     admitted = fleet.asked["q"].admitted
-    return (worst_burst(admitted(), RATE), BURST + excess(old, old.quotas[0], size),
-            worst_burst(admitted(since), RATE / 4), BURST / 4 + excess(new, new.quotas[0], size))
+    return (
+        worst_burst(admitted(), RATE),
+        BURST + excess(old, old.quotas[0], size),
+        worst_burst(admitted(since), RATE / 4),
+        BURST / 4 + excess(new, new.quotas[0], size),
+    )
--- a/tests/quota_play.py
+++ b/tests/quota_play.py
@@ -22,8 +22,10 @@
 
 
 def plan_text(version: int = 1, rate: float = 30, burst: float = 16, term_ms: int = 1_000) -> str:
-    return (f"enabled = true\nversion = {version}\nterm_ms = {term_ms}\nlongest_ms = {term_ms}\n"
-            f'[[quotas]]\nname = "fuel"\ntenants = ["{TEAM}"]\nrate = {rate}\nburst = {burst}\n')
+    return (
+        f"enabled = true\nversion = {version}\nterm_ms = {term_ms}\nlongest_ms = {term_ms}\n"
+        f'[[quotas]]\nname = "fuel"\ntenants = ["{TEAM}"]\nrate = {rate}\nburst = {burst}\n'
+    )
 
 
 class Seen:
@@ -39,8 +41,11 @@
 
     def served(self, since: float = 0.0, until: float = 1e9, at: set[int] | None = None) -> int:
         """Requests that ran, by when they first did, in s of the play."""
-        return sum(since <= when < until and (at is None or self.asked[txn][1] in at)
-                   for txn, when in self.first.items() if txn in self.asked)
+        return sum(
+            since <= when < until and (at is None or self.asked[txn][1] in at)
+            for txn, when in self.first.items()
+            if txn in self.asked
+        )
 
     def worst(self, rate: float, since: float = 0.0) -> float:
         """The most by which admissions in any window surely passed ``rate x t``. A request was admitted after
@@ -48,14 +53,28 @@
         return worst([span for span in self.verdict.spans() if span[0] >= since], rate)
 
 
-def play(seconds: float, actions: list[dict[str, Any]], quota: str | None = None,
-         even: bool = False) -> tuple[Seen, Rig]:
+def play(
+    seconds: float, actions: list[dict[str, Any]], quota: str | None = None, even: bool = False
+) -> tuple[Seen, Rig]:
     """Eight routers, 55 lookups a second of one tenant, most at the first two; ``even``: 75, alike at all."""
-    table = {"routers": 8, "engines": 6, "zones": 2, "seconds": seconds, "do": actions,
-             "fleet": "enabled = true", "channel": "enabled = true", "quota": quota or plan_text(),
-             "load": {"lookup_ms": 4, "tries": 1, "tenants": [
-                 {"name": TEAM, "lookups": 75 if even else 30},
-                 {"name": TEAM, "lookups": 0 if even else 25, "routers": [0, 1]}]}}
+    table = {
+        "routers": 8,
+        "engines": 6,
+        "zones": 2,
+        "seconds": seconds,
+        "do": actions,
+        "fleet": "enabled = true",
+        "channel": "enabled = true",
+        "quota": quota or plan_text(),
+        "load": {
+            "lookup_ms": 4,
+            "tries": 1,
+            "tenants": [
+                {"name": TEAM, "lookups": 75 if even else 30},
+                {"name": TEAM, "lookups": 0 if even else 25, "routers": [0, 1]},
+            ],
+        },
+    }
     with tempfile.TemporaryDirectory() as folder:
         rig = Rig(convert(table, Script, "script"), Path(folder))
         verdict = asyncio.run(rig.play())
@@ -69,10 +88,16 @@
 
 
 def main() -> None:
-    seen, _ = play(18, [
-        {"at": 4, "what": "kill", "routers": [4]}, {"at": 6, "what": "start", "routers": [4]},
-        {"at": 8, "what": "cut", "from": [0, 1, 2], "to": [3, 4, 5, 6, 7]}, {"at": 10, "what": "heal"},
-        {"at": 12, "what": "restart", "routers": list(range(8))}])
+    seen, _ = play(
+        18,
+        [
+            {"at": 4, "what": "kill", "routers": [4]},
+            {"at": 6, "what": "start", "routers": [4]},
+            {"at": 8, "what": "cut", "from": [0, 1, 2], "to": [3, 4, 5, 6, 7]},
+            {"at": 10, "what": "heal"},
+            {"at": 12, "what": "restart", "routers": list(range(8))},
+        ],
+    )
     print("\n".join([*seen.verdict.timeline, *seen.verdict.faults]))
     for second in range(18):
         print(f"{second:3} s  {seen.served(second, second + 1):4} of 30")
--- a/tests/routers.py
+++ b/tests/routers.py
@@ -20,17 +20,31 @@
     file = folder / "store.toml"
     parts = {key: value for key, value in more.items() if value.startswith("{")}
     plain = {key: value for key, value in more.items() if key not in parts}
-    file.write_text("\n".join((
-        "enabled = true", 'folder = "data"', *(f"{key} = {value}" for key, value in plain.items()),
-        *(f"{key} = {value}" for key, value in parts.items()))) + "\n")
+    file.write_text(
+        "\n".join(
+            (
+                "enabled = true",
+                'folder = "data"',
+                *(f"{key} = {value}" for key, value in plain.items()),
+                *(f"{key} = {value}" for key, value in parts.items()),
+            )
+        )
+        + "\n"
+    )
     return file
 
 
 class RouterProcess:
     """Starts, kills and starts again the same router: the same name, store and engines."""
 
-    def __init__(self, folder: Path, engines: dict[str, int], mysql: Path | None = None,
-                 settings: dict[str, Any] | None = None, **more: Any) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        engines: dict[str, int],
+        mysql: Path | None = None,
+        settings: dict[str, Any] | None = None,
+        **more: Any,
+    ) -> None:
         """``more``: of the configuration. A channel.toml beside the others is heeded."""
         self._folder, self._mysql, self._more = folder, mysql, more
         self._hosts = [host(name, port) for name, port in engines.items()]
@@ -48,16 +62,29 @@
         if not hasattr(self.journal, "server"):
             await self.journal.start()
         config = self._folder / "config.json"
-        config.write_text(json.dumps({
-            "name": "n0", "listen": f"{HOST}:0", "seed": "1", "journal": f"{HOST}:{self.journal.port}",
-            "known": {"pos": 1, "entries": [event(1, *self._hosts, whole=True)]},
-            "settings": self._settings, **self._more}))
-        environment = {**os.environ, "GW_CONFIG": str(config),
-                       "SLIPBAY_STORE": str(self._folder / "store.toml"),
-                       "SLIPBAY_CHANNEL": str(self._folder / "channel.toml"),
-                       **({"SLIPBAY_MYSQL": str(self._mysql)} if self._mysql else {})}
+        config.write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": f"{HOST}:0",
+                    "seed": "1",
+                    "journal": f"{HOST}:{self.journal.port}",
+                    "known": {"pos": 1, "entries": [event(1, *self._hosts, whole=True)]},
+                    "settings": self._settings,
+                    **self._more,
+                }
+            )
+        )
+        environment = {
+            **os.environ,
+            "GW_CONFIG": str(config),
+            "SLIPBAY_STORE": str(self._folder / "store.toml"),
+            "SLIPBAY_CHANNEL": str(self._folder / "channel.toml"),
+            **({"SLIPBAY_MYSQL": str(self._mysql)} if self._mysql else {}),
+        }
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "slipbay", cwd=ROOT, env=environment, stderr=asyncio.subprocess.PIPE)
+            sys.executable, "-m", "slipbay", cwd=ROOT, env=environment, stderr=asyncio.subprocess.PIPE
+        )
         self._reading = asyncio.get_running_loop().create_task(self._read(self.process))
         await self.up.wait()
 
--- a/tests/sim_disk.py
+++ b/tests/sim_disk.py
@@ -64,7 +64,7 @@
         if name not in self.files:
             raise FileNotFoundError(errno.ENOENT, "No such file", name)
         data = self.files[name].data
-        return bytes(data[offset:] if length < 0 else data[offset:offset + length])
+        return bytes(data[offset:] if length < 0 else data[offset : offset + length])
 
     def create(self, name: str) -> SimHandle:
         self.fault("create", name, 0)
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -44,8 +44,9 @@
 
 
 @given(st.binary(max_size=MOST_BODY), st.booleans(), st.integers(16, 127))
-def test_a_body_comes_back_and_routers_with_the_view_alone_skip_it(body: bytes, keyed: bool,
-                                                                   kind: int) -> None:
+def test_a_body_comes_back_and_routers_with_the_view_alone_skip_it(
+    body: bytes, keyed: bool, kind: int
+) -> None:
     key = KEY if keyed else b""
     data = frame.encode(Frame(kind, 513, 65_535, body), key)
     assert len(data) <= frame.MOST_BYTES and frame.is_framed(data) and (len(data) - 5) % 3
@@ -55,10 +56,13 @@
         frame.decode(data[:-1] + bytes([data[-1] ^ 1]), [key] if key else [])
 
 
-@given(st.lists(st.tuples(st.integers(0, 300_000), st.integers(0, 19), st.integers(1, 256)), max_size=200),
-       st.dictionaries(st.integers(0, 18), st.floats(0, 0.2), max_size=5))
+@given(
+    st.lists(st.tuples(st.integers(0, 300_000), st.integers(0, 19), st.integers(1, 256)), max_size=200),
+    st.dictionaries(st.integers(0, 18), st.floats(0, 0.2), max_size=5),
+)
 def test_no_window_gets_more_than_the_rate_and_each_kind_gets_its_part(
-        asks: list[tuple[int, int, int]], parts: dict[int, float]) -> None:
+    asks: list[tuple[int, int, int]], parts: dict[int, float]
+) -> None:
     budget, now, granted = Budget(1_000, parts, 0), 0, list[tuple[int, int, int]]()
     for wait, kind, size in asks:
         now += wait
@@ -88,7 +92,8 @@
     message all the time, and one for such a one five times a second: it gets it within the turns of three,
     though it has no part."""
     parts: dict[int, float] = {
-        Kind[name.upper()]: part for name, part in msgspec.structs.asdict(Parts()).items()}
+        Kind[name.upper()]: part for name, part in msgspec.structs.asdict(Parts()).items()
+    }
     budget, got, at = Budget(1_000, parts, 0), Counter[int](), list[int]()
     for now in range(0, 60_000_000, greedy):
         for kind in (Kind.DECISIONS, Kind.VIEW):
@@ -182,10 +187,16 @@
     assert mux.counts == {"received": 1, "received 17": 1, "skipped": 1, "garbled": 1, "foreign": 2}
 
 
-@given(st.integers(1, 60_000_000), st.integers(-500, 500), st.integers(-500, 500), st.integers(0, 5_000),
-       st.integers(0, 1_000_000))
+@given(
+    st.integers(1, 60_000_000),
+    st.integers(-500, 500),
+    st.integers(-500, 500),
+    st.integers(0, 5_000),
+    st.integers(0, 1_000_000),
+)
 def test_a_term_is_over_at_its_granter_only_after_its_holder_let_go(
-        length: int, mine: int, its: int, jump: int, way: int) -> None:
+    length: int, mine: int, its: int, jump: int, way: int
+) -> None:
     """In true time: asked at 0, granted ``way`` later; both clocks drift, and the granter's leaps."""
     clocks = Clocks(500, 5_000)
     held, granted = Held(0, length), Granted(0, length)
@@ -199,8 +210,15 @@
 Step = tuple[int, int, int]  # true us that pass, and by how many ppm the two clocks run fast meanwhile
 
 
-def violations(steps: list[Step], jumps: tuple[int, int], at: tuple[int, int], way: int, length: int,
-               clocks: Clocks, stood: bool = False) -> int:
+def violations(
+    steps: list[Step],
+    jumps: tuple[int, int],
+    at: tuple[int, int],
+    way: int,
+    length: int,
+    clocks: Clocks,
+    stood: bool = False,
+) -> int:
     """How often the granter gives away what its holder still uses. Clocks run fast or slow by step, and each
     leaps once, before the step whose number ``at`` tells. ``stood``: the holder does not read its clock anew,
     but goes by what it read when its process was stopped, at the first step."""
@@ -216,15 +234,21 @@
     return found
 
 
-STEPS = st.lists(st.tuples(st.integers(0, 400_000), st.integers(-500, 500), st.integers(-500, 500)),
-                 min_size=1, max_size=40)
-JUMPS, PLACES = st.tuples(st.integers(-5_000, 5_000), st.integers(-5_000, 5_000)), st.tuples(
-    st.integers(0, 40), st.integers(0, 40))
+STEPS = st.lists(
+    st.tuples(st.integers(0, 400_000), st.integers(-500, 500), st.integers(-500, 500)),
+    min_size=1,
+    max_size=40,
+)
+JUMPS, PLACES = (
+    st.tuples(st.integers(-5_000, 5_000), st.integers(-5_000, 5_000)),
+    st.tuples(st.integers(0, 40), st.integers(0, 40)),
+)
 
 
 @given(STEPS, JUMPS, PLACES, st.integers(0, 1_000_000), st.integers(1, 4_000_000))
 def test_no_drift_within_bounds_and_no_leap_lets_two_hold_one_thing(
-        steps: list[Step], jumps: tuple[int, int], at: tuple[int, int], way: int, length: int) -> None:
+    steps: list[Step], jumps: tuple[int, int], at: tuple[int, int], way: int, length: int
+) -> None:
     assert violations(steps, jumps, at, way, length, Clocks(500, 5_000)) == 0
 
 
@@ -240,7 +264,8 @@
 
 @given(st.integers(0, 3_000_000), st.integers(-500, 500), st.integers(-500, 500), st.integers(0, 5_000))
 def test_what_a_dead_life_granted_is_over_when_the_next_one_has_waited(
-        before: int, fast: int, its: int, jump: int) -> None:
+    before: int, fast: int, its: int, jump: int
+) -> None:
     """The last grant left ``before`` us before the new life's start, at which its holder's clock shows 0 less
     what it has counted; the term is the longest, 3 s. Its wait ends early by a leap of its own clock."""
     clocks, longest = Clocks(), 3_000_000
@@ -259,18 +284,22 @@
     part: Part = Part()
 
 
-@pytest.mark.parametrize("text, told", [
-    ("enabled = 1", "x.toml: enabled: want true or false; got 1"),
-    ("enabled = true\nrate = 'a'", "x.toml: rate: Expected `float`, got `str`"),
-    ("enabled = true\nrate = 'a'", "x.toml: rate: Expected `float`, got `str`; got 'a'"),
-    ("enabled = true\nrate = nan", "x.toml: rate: want a finite number; got nan"),
-    ("enabled = true\nrate = 1\nnames = ['', inf]", "x.toml: names[1]: want a finite number; got inf"),
-    ("enabled = true", "x.toml: rate: missing"),
-    ("enabled = true\nrate = 1\nother = 1", "x.toml: other: no such key; there are rate, names, part"),
-    ("enabled = true\nrate = 1\npart.x = 1", "x.toml: part.x: no such key; there are most"),
-    ("enabled = true\nrate = 1\npart.most = 0", "x.toml: part.most: Expected `int` >= 1; got 0"),
-    ("enabled = true\nrate = 1\nnames = [1]", "x.toml: names[0]: Expected `str`, got `int`; got 1"),
-    ("enabled = ", "x.toml: Invalid value")])
+@pytest.mark.parametrize(
+    "text, told",
+    [
+        ("enabled = 1", "x.toml: enabled: want true or false; got 1"),
+        ("enabled = true\nrate = 'a'", "x.toml: rate: Expected `float`, got `str`"),
+        ("enabled = true\nrate = 'a'", "x.toml: rate: Expected `float`, got `str`; got 'a'"),
+        ("enabled = true\nrate = nan", "x.toml: rate: want a finite number; got nan"),
+        ("enabled = true\nrate = 1\nnames = ['', inf]", "x.toml: names[1]: want a finite number; got inf"),
+        ("enabled = true", "x.toml: rate: missing"),
+        ("enabled = true\nrate = 1\nother = 1", "x.toml: other: no such key; there are rate, names, part"),
+        ("enabled = true\nrate = 1\npart.x = 1", "x.toml: part.x: no such key; there are most"),
+        ("enabled = true\nrate = 1\npart.most = 0", "x.toml: part.most: Expected `int` >= 1; got 0"),
+        ("enabled = true\nrate = 1\nnames = [1]", "x.toml: names[0]: Expected `str`, got `int`; got 1"),
+        ("enabled = ", "x.toml: Invalid value"),
+    ],
+)
 def test_mistakes_in_an_operator_file_name_file_and_key(tmp_path: Path, text: str, told: str) -> None:
     path = tmp_path / "x.toml"
     assert read_file(path, Setting) is None
@@ -286,20 +315,29 @@
     (folder / "channel.toml").write_text(text)
     (folder / "fleet.toml").write_text(view)
     (folder / "key").write_text("a key of sixteen bytes\n")
-    environment = {"GW_CONFIG": str(configure(folder, **{
-                       "peers": [f"{HOST}:3"], "peer_listen": f"{HOST}:3", "settings": TELLING, **more})),
-                   "SLIPBAY_CHANNEL": str(folder / "channel.toml"),
-                   "SLIPBAY_FLEET": str(folder / "fleet.toml")}
+    environment = {
+        "GW_CONFIG": str(
+            configure(
+                folder, **{"peers": [f"{HOST}:3"], "peer_listen": f"{HOST}:3", "settings": TELLING, **more}
+            )
+        ),
+        "SLIPBAY_CHANNEL": str(folder / "channel.toml"),
+        "SLIPBAY_FLEET": str(folder / "fleet.toml"),
+    }
     config = load(environment)
     return load_channel(config, environment, load_fleet(config, environment))
 
 
-@pytest.mark.parametrize("text, told", [
-    ("rate = 2000", "channel.toml: rate: Expected `float` <= 1000.0"),
-    ("key_file = 'none'", "channel.toml: key_file: "),
-    ("old_key_file = 'key'", "channel.toml: old_key_file: want"),
-    ("parts.decisions = 0.9", "channel.toml: parts: want at most 0.744 together"),
-    ("parts.nobody = 0.1", "channel.toml: parts.nobody: ")])
+@pytest.mark.parametrize(
+    "text, told",
+    [
+        ("rate = 2000", "channel.toml: rate: Expected `float` <= 1000.0"),
+        ("key_file = 'none'", "channel.toml: key_file: "),
+        ("old_key_file = 'key'", "channel.toml: old_key_file: want"),
+        ("parts.decisions = 0.9", "channel.toml: parts: want at most 0.744 together"),
+        ("parts.nobody = 0.1", "channel.toml: parts.nobody: "),
+    ],
+)
 def test_mistakes_in_channel_toml(tmp_path: Path, text: str, told: str) -> None:
     assert channel_config(tmp_path, text) is None
     with pytest.raises(ConfigError, match=f"^{re.escape(told)}"):
@@ -310,8 +348,12 @@
 
 def test_the_views_keys_seal_the_channel_too_unless_it_has_its_own(tmp_path: Path) -> None:
     view = "enabled = true\nkey_file = 'key'"
-    for text, on, keys_of in (("", "", ""), ("", view, "fleet.toml"), ("", view.replace("true", "false"), ""),
-                              ("key_file = 'key'", "", "channel.toml")):
+    for text, on, keys_of in (
+        ("", "", ""),
+        ("", view, "fleet.toml"),
+        ("", view.replace("true", "false"), ""),
+        ("key_file = 'key'", "", "channel.toml"),
+    ):
         found = channel_config(tmp_path, f"enabled = true\n{text}", on)
         assert found is not None and need_channel(found, "quota.toml") is found
         assert (found.keys_of, found.key) == (keys_of, b"a key of sixteen bytes" if keys_of else b"")
@@ -332,18 +374,29 @@
     mux.tick(0)
     mux.receive(0, frame.encode(Frame(Kind.QUOTA, 1, 9, b"x")), 1)
     mux.receive(0, frame.encode(Frame(Kind.LATER, 1, 9, b"x")), 1)
-    link = Link(mux, cast(Any, peers), cast(Any, SimpleNamespace(at=lambda *_: SimpleNamespace(
-        cancel=lambda: None))), lambda: 0)
+    link = Link(
+        mux,
+        cast(Any, peers),
+        cast(Any, SimpleNamespace(at=lambda *_: SimpleNamespace(cancel=lambda: None))),
+        lambda: 0,
+    )
     link.topics[0] = lambda: {"name": "n0", **mux.status()}
-    for number, asked, address in ((None, 0, "127.0.0.9"), (None, 17, "127.0.0.9"), (None, 0, "10.0.0.9"),
-                                   (1, 0, "127.0.0.9")):
+    for number, asked, address in (
+        (None, 0, "127.0.0.9"),
+        (None, 17, "127.0.0.9"),
+        (None, 0, "10.0.0.9"),
+        (1, 0, "127.0.0.9"),
+    ):
         assert peers.fleet(number, question(asked), (address, 5))
         if peers.answered:
             told = json.loads(b"".join(page[7:] for page in peers.answered))
             peers.answered.clear()
     assert mux.counts["garbled"] == 3
-    assert told["kinds"] == {"quota": {"part": 0.2, "sent": 2, "bytes": told["bytes"], "over_budget": 0,
-                                       "received": 1}} and told["skipped"] == 1
+    assert (
+        told["kinds"]
+        == {"quota": {"part": 0.2, "sent": 2, "bytes": told["bytes"], "over_budget": 0, "received": 1}}
+        and told["skipped"] == 1
+    )
     lines = exposition(told).splitlines()
     assert 'slipbay_channel_sent_total{kind="quota",router="n0"} 2.0' in lines
     assert 'slipbay_channel_dropped_total{reason="skipped",router="n0"} 1.0' in lines
@@ -366,12 +419,15 @@
 def test_gates_are_asked_in_order_and_told_once_of_what_they_admitted() -> None:
     later: list[tuple[Any, ...]] = []
     loop = SimpleNamespace(call_soon=lambda *call: later.append(call))
-    clock, timers = SimpleNamespace(now=lambda: 0), SimpleNamespace(at=lambda *_: SimpleNamespace(
-        cancel=lambda: None))
+    clock, timers = (
+        SimpleNamespace(now=lambda: 0),
+        SimpleNamespace(at=lambda *_: SimpleNamespace(cancel=lambda: None)),
+    )
     spec = api.ServiceClass(500_000, 2_500_000, api.Effect.SAFE)
     settings = api.Settings(classes=(spec,), kind_cores=(8.0,))
-    core = Core(cast(Any, loop), cast(Any, clock), cast(Any, timers), Controller(settings, 1), settings, 10,
-                1_000_000)
+    core = Core(
+        cast(Any, loop), cast(Any, clock), cast(Any, timers), Controller(settings, 1), settings, 10, 1_000_000
+    )
     first, second, third = Counting(None), Counting(None), Counting(70_000)
     answers: list[object] = []
     client = SimpleNamespace(answered=lambda request, answer: answers.append(answer))
--- a/tests/test_channel_processes.py
+++ b/tests/test_channel_processes.py
@@ -34,20 +34,28 @@
 
 
 def test_a_router_without_a_budget_is_found() -> None:
-    verdict, heard = play({0: ON, 1: ON}, {0: ON, 1: ON}, "boundless", routers=2, seconds=3, do=[],
-                          settle_s=0)
+    verdict, heard = play(
+        {0: ON, 1: ON}, {0: ON, 1: ON}, "boundless", routers=2, seconds=3, do=[], settle_s=0
+    )
     assert verdict.good and min(heard.worst(number) for number in (0, 1)) > 10 * RATE
 
 
 def resident(folder: Path, **files: str) -> tuple[int, set[str]]:
     """KiB that a router takes once it listens, and the packages of extras that it has loaded."""
-    environment = {**os.environ, "GW_CONFIG": str(configure(
-        folder, peers=[f"{HOST}:3"], peer_listen=f"{HOST}:0", settings=TELLING))}
+    environment = {
+        **os.environ,
+        "GW_CONFIG": str(configure(folder, peers=[f"{HOST}:3"], peer_listen=f"{HOST}:0", settings=TELLING)),
+    }
     for name in ("channel", "fleet", "store", "comeback", "quota"):
         (folder / f"{name}.toml").write_text(files.get(name, "enabled = false\n"))
         environment[f"SLIPBAY_{name.upper()}"] = str(folder / f"{name}.toml")
-    with subprocess.Popen([sys.executable, "-X", "importtime", "-m", "slipbay"], cwd=ROOT, text=True,
-                          env=environment, stderr=subprocess.PIPE) as process:
+    with subprocess.Popen(
+        [sys.executable, "-X", "importtime", "-m", "slipbay"],
+        cwd=ROOT,
+        text=True,
+        env=environment,
+        stderr=subprocess.PIPE,
+    ) as process:
         assert process.stderr is not None
         loaded = set()
         try:
@@ -59,7 +67,13 @@
         finally:
             process.kill()
     return int(status.partition("VmRSS:")[2].split()[0]), loaded & {
-        "msgspec", "msgpack", "zstandard", "prometheus_client", "google_crc32c", "cryptography"}
+        "msgspec",
+        "msgpack",
+        "zstandard",
+        "prometheus_client",
+        "google_crc32c",
+        "cryptography",
+    }
 
 
 def test_an_idle_router_is_small_and_loads_only_what_is_on(tmp_path: Path) -> None:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -28,6 +28,7 @@
 def filled(folder: Path) -> None:
     """A store with a request that was served, one of unknown fate, and the ration."""
     from martenkeel.interface import Remembered
+
     store, ledger = Store.open(Folder(folder)), Ledger()
     for name in (b"json:b", b"json:a"):
         ledger.ask(name, b"d", True, 1)
@@ -49,7 +50,11 @@
     told = call("store", "dump", "--json", tmp_path)
     records = [json.loads(line) for line in told.output.splitlines()]
     assert told.exit_code == 0 and [(record["key"], record["state"]) for record in records] == [
-        ("", "ration"), ("json:a", "answer"), ("json:a", "served"), ("json:b", "running")]
+        ("", "ration"),
+        ("json:a", "answer"),
+        ("json:a", "served"),
+        ("json:b", "running"),
+    ]
     assert records[3]["engine"] == "s-1" and records[2]["answer_bytes"] == 4
     assert "json:b" in call("store", "dump", tmp_path).output
     assert "records    4" in call("store", "status", tmp_path).output and listing(tmp_path) == before
@@ -96,14 +101,15 @@
     assert not (tmp_path / "data").exists()
     assert "durable store is off" in call("check", GW_CONFIG=str(config)).output
     for line, fault in (
-            ("folder = 3", "store.toml: folder: Expected `str`, got `int`; got 3"),
-            ("colour = 1", "store.toml: colour: no such key"),
-            ("most_mb = 1", "store.toml: most_mb: want at least four times segment_mb"),
-            ("keep = { answer_kb = 5000 }", "store.toml: keep.answer_kb: want at most 4096"),
-            ("keep = { most_keys = 10000000 }", "store.toml: keep.most_keys: 10000000 keys would take more"),
-            ("keep = { retention = 1 }", "store.toml: keep.retention: no such key"),
-            ("commit = { wait_us = -1 }", "store.toml: commit.wait_us: Expected `float` >= 0.0; got -1"),
-            ('when_it_cannot_write = "pray"', "store.toml: when_it_cannot_write: want 'refuse' or 'stop'")):
+        ("folder = 3", "store.toml: folder: Expected `str`, got `int`; got 3"),
+        ("colour = 1", "store.toml: colour: no such key"),
+        ("most_mb = 1", "store.toml: most_mb: want at least four times segment_mb"),
+        ("keep = { answer_kb = 5000 }", "store.toml: keep.answer_kb: want at most 4096"),
+        ("keep = { most_keys = 10000000 }", "store.toml: keep.most_keys: 10000000 keys would take more"),
+        ("keep = { retention = 1 }", "store.toml: keep.retention: no such key"),
+        ("commit = { wait_us = -1 }", "store.toml: commit.wait_us: Expected `float` >= 0.0; got -1"),
+        ('when_it_cannot_write = "pray"', "store.toml: when_it_cannot_write: want 'refuse' or 'stop'"),
+    ):
         more = "" if line.startswith("folder") else 'folder = "data"\n'
         store.write_text(f"enabled = true\n{more}{line}\n")
         told = call("check", "--config", config, "--store", store)
@@ -115,30 +121,45 @@
     """Guards against a wish for peers where the number of routers is named."""
     plan = tmp_path / "quota.toml"
     plan.write_text('version = 1\n[[quotas]]\nname = "fuel"\nrate = 30\nburst = 10\n')
-    told = call("quota", "explain", "--file", plan, "--routers", 8,
-                GW_CONFIG=str(configure(tmp_path, peers=[], peer_listen=None)))
+    told = call(
+        "quota",
+        "explain",
+        "--file",
+        plan,
+        "--routers",
+        8,
+        GW_CONFIG=str(configure(tmp_path, peers=[], peer_listen=None)),
+    )
     assert told.exit_code == 0 and "at most 10 + 30 x t" in told.output, told.output
 
 
 def test_a_router_starts_from_the_command_line_and_says_what_is_wrong(tmp_path: Path) -> None:
     environment = {**os.environ, "GW_CONFIG": str(configure(tmp_path, listen="nowhere"))}
     for words in ([], ["serve"]):
-        told = subprocess.run([sys.executable, "-m", "slipbay", *words], cwd=ROOT, env=environment,
-                              capture_output=True, text=True)
+        told = subprocess.run(
+            [sys.executable, "-m", "slipbay", *words],
+            cwd=ROOT,
+            env=environment,
+            capture_output=True,
+            text=True,
+        )
         assert told.returncode == 2 and "bad configuration: listen:" in told.stderr
 
 
 def test_a_router_without_a_store_loads_nothing_of_it() -> None:
     """It would cost memory that the platform counts, and packages that it may not have."""
-    code = ("import sys, slipbay.run\n"
-            "print(sorted({'click', 'msgpack', 'zstandard', 'google_crc32c', 'slipbay.core.keeper'}"
-            " & set(sys.modules)))")
+    code = (
+        "import sys, slipbay.run\n"
+        "print(sorted({'click', 'msgpack', 'zstandard', 'google_crc32c', 'slipbay.core.keeper'}"
+        " & set(sys.modules)))"
+    )
     told = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
     assert told.stdout == "[]\n", told.stderr
 
 
 def test_log_lines_have_a_form_for_people_and_one_for_machines(
-        capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch) -> None:
+    capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(slipbay.log, "_kinds", {})
     slipbay.log.log("engine", "it broke", engine=b"s-1", class_=2)
     assert capsys.readouterr().err == "slipbay: engine: it broke engine=s-1 class=2\n"
--- a/tests/test_comeback.py
+++ b/tests/test_comeback.py
@@ -33,15 +33,20 @@
 
 FIELD = st.floats(0, 2.0**40, width=32)
 NEWS = st.builds(
-    api.Inherited, FIELD, FIELD, st.lists(st.tuples(FIELD, FIELD, FIELD), max_size=4).map(tuple),
+    api.Inherited,
+    FIELD,
+    FIELD,
+    st.lists(st.tuples(FIELD, FIELD, FIELD), max_size=4).map(tuple),
     st.lists(st.tuples(st.integers(0, 65_535), st.integers(0, 600 * SECOND)), max_size=60).map(tuple),
-    st.lists(st.tuples(st.floats(0, 1e9), FIELD), max_size=30).map(tuple))
+    st.lists(st.tuples(st.floats(0, 1e9), FIELD), max_size=30).map(tuple),
+)
 GOOD = api.Inherited(1.2, 1.0, ((90_000.0, 95_000.0, 1.1),), ((7, 0),), ((3.0, 40.0), (5.0, 10.0)))
 
 
 @given(st.sampled_from(Sort), st.integers(0, 65_535), st.integers(0, 10**9), NEWS)
-def test_messages_fit_and_ages_only_grow_on_the_way(sort: Sort, nonce: int, age: int,
-                                                    news: api.Inherited) -> None:
+def test_messages_fit_and_ages_only_grow_on_the_way(
+    sort: Sort, nonce: int, age: int, news: api.Inherited
+) -> None:
     body = codec.encode(Message(sort, nonce, age, 2, 3, news))
     assert len(body) <= MOST_BODY
     found = codec.decode(body)
@@ -50,8 +55,10 @@
         assert found.age_us >= min(age, codec.MOST_AGE * codec.STEP_US)
     if sort is Sort.NEWS:
         most = codec.MOST_AGE * codec.STEP_US
-        assert all(any(digest == of and min(was, most) <= told for of, was in news.ill)
-                   for digest, told in found.news.ill)
+        assert all(
+            any(digest == of and min(was, most) <= told for of, was in news.ill)
+            for digest, told in found.news.ill
+        )
 
 
 @given(st.binary(max_size=MOST_BODY))
@@ -63,10 +70,13 @@
         assert found.news.pace == found.news.pace  # not a NaN
 
 
-@given(st.lists(st.tuples(NEWS, st.integers(0, 255), st.integers(0, 90 * SECOND)), max_size=4),
-       st.integers(1, 80))
+@given(
+    st.lists(st.tuples(NEWS, st.integers(0, 255), st.integers(0, 90 * SECOND)), max_size=4),
+    st.integers(1, 80),
+)
 def test_whatever_tellers_say_what_is_made_of_it_keeps_its_bounds(
-        tellers: list[tuple[api.Inherited, int, int]], engines: int) -> None:
+    tellers: list[tuple[api.Inherited, int, int]], engines: int
+) -> None:
     ages = Ages()
     merged = merge([Told(*t) for t in tellers], ages, engines, 5)
     news = merged.news
@@ -99,6 +109,7 @@
         alive[me] = Comeback(me, size, seed, now, lambda at: (knows, 1))
         alive[me].engines = 8
         return {Kind.COMEBACK: alive[me]}
+
     return parties
 
 
@@ -212,8 +223,7 @@
     tier.load(19, 0.9)
     tier.until(tier.now + 4 * SECOND)
     assert max(engine.worst_push for engine in tier.engines.values()) < 1  # none falls
-    return (tier.seen.part(ready, ready + 3 * SECOND),
-            tier.seen.peaks(ready, ready + 3 * SECOND)["connects"])
+    return (tier.seen.part(ready, ready + 3 * SECOND), tier.seen.peaks(ready, ready + 3 * SECOND)["connects"])
 
 
 def test_back_among_cold_engines_a_fleet_serves_more_by_what_it_learned_on_fewer_dials() -> None:
@@ -260,6 +270,7 @@
         for action in decider.handle(now, [event]):
             if isinstance(action, api.Dispatch):
                 engines.append((action.query, action.engine))
+
     tell(2, api.ComingBack(True, 10.0))
     for query in (1, 2, 3):
         tell(3 + query, api.QueryArrived(query, 0, 2_500_000, 50_000))
@@ -276,9 +287,16 @@
     assert [query for query, _ in engines] == [1, 2, 3, 4]
 
 
-@pytest.mark.parametrize(("text", "wanted"), [
-    ("dials = 0", "dials"), ("sample = 99", "sample"), ("dails = 3", "dails"),
-    ("ages = {ill = 3}", "ages.ill"), ('held_share = "half"', "held_share")])
+@pytest.mark.parametrize(
+    ("text", "wanted"),
+    [
+        ("dials = 0", "dials"),
+        ("sample = 99", "sample"),
+        ("dails = 3", "dails"),
+        ("ages = {ill = 3}", "ages.ill"),
+        ('held_share = "half"', "held_share"),
+    ],
+)
 def test_a_bad_file_names_its_key(tmp_path: Path, text: str, wanted: str) -> None:
     config: Any = SimpleNamespace(settings=controller().settings, peer_listen=None, peers=())
     file = tmp_path / "comeback.toml"
@@ -291,7 +309,8 @@
 
 @given(NEWS, st.integers(0, 255), st.integers(0, 100 * SECOND), st.integers(0, 2_000))
 def test_a_snapshot_is_used_up_to_the_age_of_each_field_and_one_that_is_spoilt_not_at_all(
-        news: api.Inherited, extras: int, age: int, place: int) -> None:
+    news: api.Inherited, extras: int, age: int, place: int
+) -> None:
     value = snapshot.write(news, extras, 10**15)
     told = snapshot.read(value, 10**15 + age)
     assert told.age_us == age and told.extras == extras
@@ -299,7 +318,7 @@
         snapshot.read(value, 10**15 - 1)
     place %= len(value)
     with pytest.raises(ValueError, match="whole"):
-        snapshot.read(value[:place] + bytes([value[place] ^ 1]) + value[place + 1:], 10**15)
+        snapshot.read(value[:place] + bytes([value[place] ^ 1]) + value[place + 1 :], 10**15)
     machine = Comeback(0, 1, 1, 0, lambda now: (GOOD, 0))
     machine.recall(0, told)
     machine.tick(SECOND)
@@ -320,8 +339,10 @@
                 await asyncio.sleep(0.05)
         if "status" in self.script.channel:
             result = await asyncio.to_thread(
-                CliRunner().invoke, main, ["comeback", "status", joined(self._peer(self.routers[0])),
-                                           "--seconds", "60", "--json"])
+                CliRunner().invoke,
+                main,
+                ["comeback", "status", joined(self._peer(self.routers[0])), "--seconds", "60", "--json"],
+            )
             self.asked = result.output
 
     def told(self, lines: list[str]) -> list[str]:
@@ -339,12 +360,24 @@
     opened = {}
     for text in ("", "enabled = true\ndials = 1\nleast_dials = 0.1"):
         (tmp_path / str(len(text))).mkdir()
-        rig = UntilFull(from_table({
-            "routers": 8, "engines": 4, "seconds": 6, "settle_s": 30, "comeback": text,
-            "channel": "enabled = true\nstatus = true" if text else "",
-            "load": {"lookups": 80, "reports": 2, "loads": 0}, "do": [
-                {"at": 1.9, "what": "renew", "engines": [0]},
-                {"at": 2, "what": "restart", "routers": list(range(8))}]}), tmp_path / str(len(text)))
+        rig = UntilFull(
+            from_table(
+                {
+                    "routers": 8,
+                    "engines": 4,
+                    "seconds": 6,
+                    "settle_s": 30,
+                    "comeback": text,
+                    "channel": "enabled = true\nstatus = true" if text else "",
+                    "load": {"lookups": 80, "reports": 2, "loads": 0},
+                    "do": [
+                        {"at": 1.9, "what": "renew", "engines": [0]},
+                        {"at": 2, "what": "restart", "routers": list(range(8))},
+                    ],
+                }
+            ),
+            tmp_path / str(len(text)),
+        )
         verdict = asyncio.run(rig.play())
         assert verdict.good, verdict.faults
         assert verdict.outcomes["lookup served"]
@@ -359,20 +392,42 @@
 
 
 def test_seven_in_ten_killed_under_load_and_back_inherit_from_those_who_live(tmp_path: Path) -> None:
-    rig = UntilFull(from_table({
-        "routers": 10, "engines": 4, "seconds": 9, "settle_s": 30, "channel": "enabled = true",
-        "comeback": "enabled = true", "load": {"lookups": 60, "reports": 2, "loads": 1},
-        "do": [{"at": 5, "what": "restart", "routers": list(range(7))}]}), tmp_path)
+    rig = UntilFull(
+        from_table(
+            {
+                "routers": 10,
+                "engines": 4,
+                "seconds": 9,
+                "settle_s": 30,
+                "channel": "enabled = true",
+                "comeback": "enabled = true",
+                "load": {"lookups": 60, "reports": 2, "loads": 1},
+                "do": [{"at": 5, "what": "restart", "routers": list(range(7))}],
+            }
+        ),
+        tmp_path,
+    )
     verdict = asyncio.run(rig.play())
     assert verdict.good, verdict.faults
     assert len([r for r in rig.routers if len(r.lives) == 2]) == 7
 
 
 def test_a_router_alone_uses_the_snapshot_of_its_last_life(tmp_path: Path) -> None:
-    rig = UntilFull(from_table({
-        "routers": 1, "engines": 2, "seconds": 10, "settle_s": 30, "comeback": "enabled = true",
-        "store": 'enabled = true\nfolder = "{own}/store"', "load": {"lookups": 20, "reports": 1, "loads": 1},
-        "do": [{"at": 8.5, "what": "restart", "routers": [0]}]}), tmp_path)
+    rig = UntilFull(
+        from_table(
+            {
+                "routers": 1,
+                "engines": 2,
+                "seconds": 10,
+                "settle_s": 30,
+                "comeback": "enabled = true",
+                "store": 'enabled = true\nfolder = "{own}/store"',
+                "load": {"lookups": 20, "reports": 1, "loads": 1},
+                "do": [{"at": 8.5, "what": "restart", "routers": [0]}],
+            }
+        ),
+        tmp_path,
+    )
     verdict = asyncio.run(rig.play())
     assert verdict.good, verdict.faults
     told = [line for line in rig.routers[0].lines if "s old" in line]
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -13,25 +13,43 @@
 
 from slipbay.config import MYSQL_FILE, ConfigError, from_json, load, load_mysql
 
-GOOD: dict[str, Any] = {"name": "n0", "listen": f"{HOST}:1", "journal": f"{HOST}:2", "settings": SETTINGS,
-                        "seed": "8c1f30d27a5be964", "peers": [f"{HOST}:3"], "limits": {"memory_mb": 192}}
+GOOD: dict[str, Any] = {
+    "name": "n0",
+    "listen": f"{HOST}:1",
+    "journal": f"{HOST}:2",
+    "settings": SETTINGS,
+    "seed": "8c1f30d27a5be964",
+    "peers": [f"{HOST}:3"],
+    "limits": {"memory_mb": 192},
+}
 
 
 def test_defaults_and_the_environment() -> None:
     config = from_json(json.dumps(GOOD), {"GW_NAME": "n7", "GW_LISTEN": f"{HOST}:9"})
-    assert (config.name, config.listen, config.seed) == ("n7", (HOST, 9), 0x8c1f30d27a5be964)
+    assert (config.name, config.listen, config.seed) == ("n7", (HOST, 9), 0x8C1F30D27A5BE964)
     assert config.limits.sockets == 1024 and config.mysql is None
     assert config.limits.client_sockets + config.limits.engine_sockets < 1024
 
 
-@pytest.mark.parametrize("change, key", [
-    ({"name": None}, "name"), ({"name": 7}, "name"), ({"listen": "host:80"}, "listen"),
-    ({"listen": "127.0.0.1:x"}, "listen"), ({"journal": "127.0.0.1"}, "journal"), ({"seed": "xyz"}, "seed"),
-    ({"limits": {"sockets": 3}}, "limits.sockets"), ({"limits": []}, "limits"),
-    ({"peers": ["x"]}, "peers[0]"),
-    ({"known": {"pos": -1}}, "known.pos"), ({"known": {"entries": {}}}, "known.entries"),
-    ({"settings": {}}, "settings"), ({"settings": {**SETTINGS, "policyLimits": {"maxOpen": "x"}}},
-                                     "settings.policyLimits.maxOpen"), ({"peer_listen": "x"}, "peer_listen")])
+@pytest.mark.parametrize(
+    "change, key",
+    [
+        ({"name": None}, "name"),
+        ({"name": 7}, "name"),
+        ({"listen": "host:80"}, "listen"),
+        ({"listen": "127.0.0.1:x"}, "listen"),
+        ({"journal": "127.0.0.1"}, "journal"),
+        ({"seed": "xyz"}, "seed"),
+        ({"limits": {"sockets": 3}}, "limits.sockets"),
+        ({"limits": []}, "limits"),
+        ({"peers": ["x"]}, "peers[0]"),
+        ({"known": {"pos": -1}}, "known.pos"),
+        ({"known": {"entries": {}}}, "known.entries"),
+        ({"settings": {}}, "settings"),
+        ({"settings": {**SETTINGS, "policyLimits": {"maxOpen": "x"}}}, "settings.policyLimits.maxOpen"),
+        ({"peer_listen": "x"}, "peer_listen"),
+    ],
+)
 def test_the_faulty_key_is_named(change: dict[str, Any], key: str) -> None:
     with pytest.raises(ConfigError, match=f"^{re.escape(key)}:"):
         from_json(json.dumps({**GOOD, **change}), {})
@@ -45,20 +63,27 @@
         from_json("{", {})
 
 
-@pytest.mark.parametrize("old, new, key", [
-    ('read = "lookup"', 'read = "dance"', "classes.read"),
-    ('write = "ticket-load"', 'write = "lookup"', "classes.write"),
-    ('prepare = "lookup"', 'prepare = "ticket-load"', "classes.prepare"),
-    ("'group by'", "'('", r"classes.rules\[0\].pattern"),
-    ("report = 15000", "dance = 1", "deadline_ms.dance"),
-    ('tenant = "ishikari-fuel"', 'tenant = "x"', "users.office.tenant"),
-    ('password_file = "secret"', 'password_file = "none"', "password_file"),
-    ("enabled = true", "enabled = 1", "enabled"),
-    ("max_packet_bytes = 65536", "max_packet_bytes = 1", "max_packet_bytes"),
-    ("[engines]", '[engines]\ns-9 = "x"', "engines.s-9"),
-    ("[engines]", '[spiffe]\ntrust_domain = "a"\n[spiffe.tenants]\n"spiffe://b/c" = "x"\n[engines]',
-     "spiffe.tenants"),
-    ("enabled = true", "enabled = ", "mysql.toml")])
+@pytest.mark.parametrize(
+    "old, new, key",
+    [
+        ('read = "lookup"', 'read = "dance"', "classes.read"),
+        ('write = "ticket-load"', 'write = "lookup"', "classes.write"),
+        ('prepare = "lookup"', 'prepare = "ticket-load"', "classes.prepare"),
+        ("'group by'", "'('", r"classes.rules\[0\].pattern"),
+        ("report = 15000", "dance = 1", "deadline_ms.dance"),
+        ('tenant = "ishikari-fuel"', 'tenant = "x"', "users.office.tenant"),
+        ('password_file = "secret"', 'password_file = "none"', "password_file"),
+        ("enabled = true", "enabled = 1", "enabled"),
+        ("max_packet_bytes = 65536", "max_packet_bytes = 1", "max_packet_bytes"),
+        ("[engines]", '[engines]\ns-9 = "x"', "engines.s-9"),
+        (
+            "[engines]",
+            '[spiffe]\ntrust_domain = "a"\n[spiffe.tenants]\n"spiffe://b/c" = "x"\n[engines]',
+            "spiffe.tenants",
+        ),
+        ("enabled = true", "enabled = ", "mysql.toml"),
+    ],
+)
 def test_the_mysql_file_names_its_faulty_key_too(tmp_path: Path, old: str, new: str, key: str) -> None:
     config = from_json(json.dumps(GOOD), {})
     file = mysql_file(tmp_path)
--- a/tests/test_explore_quota.py
+++ b/tests/test_explore_quota.py
@@ -18,8 +18,10 @@
 def test_three_routers_two_grants_and_a_fault_within_a_short_bound() -> None:
     found = explore(depth=6)
     assert found.violation == "" and found.states > 5_000 and found.most == WHOLE
-    assert all(found.moves[what] for what in (
-        "ask", "deliver", "lose", "double", "step", "restart", "cut", "renew", "less", "return"))
+    assert all(
+        found.moves[what]
+        for what in ("ask", "deliver", "lose", "double", "step", "restart", "cut", "renew", "less", "return")
+    )
 
 
 def test_random_walks_that_go_deeper() -> None:
@@ -28,14 +30,22 @@
 
 
 def test_tenures_of_three_routers_within_a_short_bound_and_on_walks() -> None:
-    for start in (Tenures(), begun(), begun(4, *LENT), begun(5, *LATE),
-                  begun(1, *LENT, ends=2), begun(1, *LATE_END, ends=2)):
+    for start in (
+        Tenures(),
+        begun(),
+        begun(4, *LENT),
+        begun(5, *LATE),
+        begun(1, *LENT, ends=2),
+        begun(1, *LATE_END, ends=2),
+    ):
         found = explore(depth=3, start=start)
         assert found.violation == "" and found.states > 500 and found.most == WHOLE
     found = wander(walks=200, tenures=True, ends=3)
     assert found.violation == "" and found.states == 200 * 60 and found.most == WHOLE
-    assert all(found.moves[what] for what in ("hold", "leave", "borrow", "restart", "cut", "lose", "double",
-                                            "end", "return"))
+    assert all(
+        found.moves[what]
+        for what in ("hold", "leave", "borrow", "restart", "cut", "lose", "double", "end", "return")
+    )
 
 
 def test_lives_that_begin_anew_and_wait_for_nothing() -> None:
@@ -65,11 +75,18 @@
     return self.stated != 0 and any(stated == self.stated for _, stated in self._heard.values())
 
 
-@pytest.mark.parametrize(("name", "fault", "many"), [
-    ("state", _state_whatever_was_held, 3), ("state", _state_with_answers_under_way, 2),
-    ("_sum", _of_any_lives, 3), ("all_new", _one_is_enough, 3)])
-def test_faults_put_into_births_are_found(monkeypatch: pytest.MonkeyPatch, name: str, fault: Any,
-                                          many: int) -> None:
+@pytest.mark.parametrize(
+    ("name", "fault", "many"),
+    [
+        ("state", _state_whatever_was_held, 3),
+        ("state", _state_with_answers_under_way, 2),
+        ("_sum", _of_any_lives, 3),
+        ("all_new", _one_is_enough, 3),
+    ],
+)
+def test_faults_put_into_births_are_found(
+    monkeypatch: pytest.MonkeyPatch, name: str, fault: Any, many: int
+) -> None:
     monkeypatch.setattr(Births, name, fault)
     assert explore(depth=4, start=reborn((0, 2), LENT[:many])).violation
 
@@ -112,12 +129,21 @@
     return self.home - self.reserve if self.awake(now) else 0
 
 
-@pytest.mark.parametrize(("where", "name", "fault"), [
-    (shares, "wait_after_start", _no_wait), (Granted, "over", _over_without_drift),
-    (Lent, "most", _last_alone), (Shares, "asked", _any_order), (Shares, "answered", _any_answer),
-    (Shares, "answered", _from_the_answer_on), (Shares, "room", _all_at_home)])
-def test_faults_put_in_are_found(monkeypatch: pytest.MonkeyPatch, where: Any, name: str,
-                                 fault: Callable[..., Any]) -> None:
+@pytest.mark.parametrize(
+    ("where", "name", "fault"),
+    [
+        (shares, "wait_after_start", _no_wait),
+        (Granted, "over", _over_without_drift),
+        (Lent, "most", _last_alone),
+        (Shares, "asked", _any_order),
+        (Shares, "answered", _any_answer),
+        (Shares, "answered", _from_the_answer_on),
+        (Shares, "room", _all_at_home),
+    ],
+)
+def test_faults_put_in_are_found(
+    monkeypatch: pytest.MonkeyPatch, where: Any, name: str, fault: Callable[..., Any]
+) -> None:
     monkeypatch.setattr(where, name, fault)
     assert explore(depth=5).violation or wander(walks=1_500).violation
 
@@ -135,8 +161,9 @@
     return most if self.held(now) else 0
 
 
-def _promised_twice(self: Warden, now: int, home: int, holder: tuple[int, int], tag: int,
-                    length: int) -> bool:
+def _promised_twice(
+    self: Warden, now: int, home: int, holder: tuple[int, int], tag: int, length: int
+) -> bool:
     self.books[home] = Book(holder, tag, Granted(now, length))
     return now >= self.wakes
 
@@ -155,8 +182,9 @@
     """Who says that its promise ends counts on it as before."""
 
 
-def _shortened_at_any_time(self: Warden, now: int, home: int, holder: tuple[int, int], tag: int,
-                           length: int) -> None:
+def _shortened_at_any_time(
+    self: Warden, now: int, home: int, holder: tuple[int, int], tag: int, length: int
+) -> None:
     if home in self.books and self.books[home].holder == holder:
         self.books[home] = Book(holder, tag, Granted(now, length))
 
@@ -177,16 +205,25 @@
     return True
 
 
-@pytest.mark.parametrize(("where", "name", "fault", "start"), [
-    (Shares, "back", _back_at_once, (1, *LENT)), (Holder, "shorten", _not_cut, ()),
-    (Warden, "shorten", _shortened_at_any_time, (1, *LATE_END)),
-    (Warden, "shorten", _counted_anew, (4, *LENT, *LATE_END[:2], LATE_END[1])),
-    (tenure, "majority", _half, None), (tenure, "wait_after_start", _no_wait, None),
-    (Granted, "over", _over_without_drift, (4,)), (Shares, "room", _to_the_end_of_time, (4, *LENT)),
-    (Warden, "hold", _promised_twice, None), (Warden, "leave", _left_at_any_time, (5, *LATE)),
-    (Holder, "promised", _any_promise, None)])
-def test_faults_put_into_tenures_are_found(monkeypatch: pytest.MonkeyPatch, where: Any, name: str,
-                                           fault: Callable[..., Any], start: Any) -> None:
+@pytest.mark.parametrize(
+    ("where", "name", "fault", "start"),
+    [
+        (Shares, "back", _back_at_once, (1, *LENT)),
+        (Holder, "shorten", _not_cut, ()),
+        (Warden, "shorten", _shortened_at_any_time, (1, *LATE_END)),
+        (Warden, "shorten", _counted_anew, (4, *LENT, *LATE_END[:2], LATE_END[1])),
+        (tenure, "majority", _half, None),
+        (tenure, "wait_after_start", _no_wait, None),
+        (Granted, "over", _over_without_drift, (4,)),
+        (Shares, "room", _to_the_end_of_time, (4, *LENT)),
+        (Warden, "hold", _promised_twice, None),
+        (Warden, "leave", _left_at_any_time, (5, *LATE)),
+        (Holder, "promised", _any_promise, None),
+    ],
+)
+def test_faults_put_into_tenures_are_found(
+    monkeypatch: pytest.MonkeyPatch, where: Any, name: str, fault: Callable[..., Any], start: Any
+) -> None:
     """By walks, or in all orders from where the fault may begin to show."""
     monkeypatch.setattr(where, name, fault)
     if fault is _to_the_end_of_time:
--- a/tests/test_explore_view.py
+++ b/tests/test_explore_view.py
@@ -28,13 +28,18 @@
     return self.members[number].news
 
 
-@pytest.mark.parametrize(("method", "fault", "property_", "depth"), [
-    ("_take", _forgets_order, "5", 5),  # a late claim replaces a later one
-    ("_met", _believes_any_life, "3", 7),  # an earlier life replaces a later one
-    ("_as", _never_gives_up, "5", 4),  # the dead are suspected, and never held gone
-    ("_about_me", lambda self, now, item: self._hold(now, item), "1", 8)])  # what is said of us is believed
-def test_faults_put_in_are_found(monkeypatch: pytest.MonkeyPatch, method: str, fault: object, property_: str,
-                                 depth: int) -> None:
+@pytest.mark.parametrize(
+    ("method", "fault", "property_", "depth"),
+    [
+        ("_take", _forgets_order, "5", 5),  # a late claim replaces a later one
+        ("_met", _believes_any_life, "3", 7),  # an earlier life replaces a later one
+        ("_as", _never_gives_up, "5", 4),  # the dead are suspected, and never held gone
+        ("_about_me", lambda self, now, item: self._hold(now, item), "1", 8),
+    ],
+)  # what is said of us is believed
+def test_faults_put_in_are_found(
+    monkeypatch: pytest.MonkeyPatch, method: str, fault: object, property_: str, depth: int
+) -> None:
     monkeypatch.setattr(Membership, method, fault)
     found = explore(depth, most_states=20_000, check_leaves=40)
     assert found.violations and found.violations[0].startswith(property_)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -35,6 +35,7 @@
 
 def test_an_event_that_broke_on_its_way_is_asked_for_at_the_next_sign_of_life() -> None:
     """Guards against a list that lacks a drain until some later event shows the gap."""
+
     async def test() -> None:
         async with Loopback(StandInEngine()) as net:
             await until(lambda: bool(net.journal.writers))
@@ -89,8 +90,13 @@
             address = ours.getsockname()
             ours.close()
             settings = replace(net.router.config.settings, may_tell=True, gateways=2)
-            config = replace(net.router.config, settings=settings, peer_listen=address,
-                             peers_all=others[1].getsockname(), peers=(address, others[0].getsockname()))
+            config = replace(
+                net.router.config,
+                settings=settings,
+                peer_listen=address,
+                peers_all=others[1].getsockname(),
+                peers=(address, others[0].getsockname()),
+            )
             heard: list[tuple[int, bytes]] = []
             peers = Peers(config, lambda sender, body: heard.append((sender, body)))
             await peers.start()
@@ -111,5 +117,3 @@
                 other.close()
 
     run(test)
-
-
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -19,8 +19,14 @@
 from slipbay.emulator.tier import Tier
 
 SIZES = [1, 3, 40, 200]
-RULES: dict[str, Any] = dict(cold_share=0.31, cold_multiple=3.0, cold_window_us=3 * SECOND,
-                             ramp_us=13 * SECOND, may_tell=True, max_retry_after_us=SECOND)
+RULES: dict[str, Any] = dict(
+    cold_share=0.31,
+    cold_multiple=3.0,
+    cold_window_us=3 * SECOND,
+    ramp_us=13 * SECOND,
+    may_tell=True,
+    max_retry_after_us=SECOND,
+)
 CORES = 8
 
 
@@ -101,7 +107,8 @@
 @pytest.mark.parametrize("failing", [False, True])
 @pytest.mark.parametrize("routers", SIZES)
 def test_cold_engines_are_used_by_all_together_and_not_pushed_over_by_heavy_queries(
-        routers: int, failing: bool) -> None:
+    routers: int, failing: bool
+) -> None:
     """Guards against engines left idle where a share for each of several routers is less than a query, seen
     where six in ten were replaced: the rest got four times what they can run; and against lots without end
     for one that ends all it gets at once, so that its threads are free by every sum."""
--- a/tests/test_gather.py
+++ b/tests/test_gather.py
@@ -38,17 +38,28 @@
 from slipbay.gather.seam import Curve, Enough, Fate, Scattered, State, TooFew, Verdict, Wait
 from slipbay.gather.told import ASK, EVERY_US, Teller, decode
 
-CURVES: tuple[Curve, ...] = (CURVE, ((1.0, 1.0),), ((0.0, 0.0), (1.0, 1.0)), ((0.3, 0.9), (1.0, 1.0)),
-                             ((0.6, 0.1), (0.9, 0.2), (1.0, 1.0)))
+CURVES: tuple[Curve, ...] = (
+    CURVE,
+    ((1.0, 1.0),),
+    ((0.0, 0.0), (1.0, 1.0)),
+    ((0.3, 0.9), (1.0, 1.0)),
+    ((0.6, 0.1), (0.9, 0.2), (1.0, 1.0)),
+)
 
 
-def scattered(parts: int = 8, latest_us: int = LATEST_US, price: float = 0.25,
-              curve: Curve = CURVE) -> Scattered:
+def scattered(
+    parts: int = 8, latest_us: int = LATEST_US, price: float = 0.25, curve: Curve = CURVE
+) -> Scattered:
     return Scattered("report", "part", tuple(range(parts)), "{group}", curve, price, latest_us)
 
 
-def asked(moments: GatherMoments, now: int = 0, parts: int = 8, deadline: int = 10 * SECOND,
-          declared: Scattered | None = None) -> GatherMoment:
+def asked(
+    moments: GatherMoments,
+    now: int = 0,
+    parts: int = 8,
+    deadline: int = 10 * SECOND,
+    declared: Scattered | None = None,
+) -> GatherMoment:
     moment = moments.begin(now, declared or scattered(parts), now + deadline)
     for place in range(parts):
         moment.asked(now, place, f"engine{place % 5}", State.USUAL)
@@ -169,8 +180,13 @@
     assert engine.shift <= found
 
 
-CELLS = [Case(4, False, True, 0.5), Case(4, True, False, 1.1), Case(16, True, True, 0.8), Case(16, routers=8),
-         Case(64, True, True, rate=5)]
+CELLS = [
+    Case(4, False, True, 0.5),
+    Case(4, True, False, 1.1),
+    Case(16, True, True, 0.8),
+    Case(16, routers=8),
+    Case(64, True, True, rate=5),
+]
 
 
 @pytest.mark.parametrize("case", CELLS, ids=lambda case: f"{case.parts}-{case.load}-{case.routers}")
@@ -209,8 +225,12 @@
     for make in (longer_never, dropping):
         fleet = GatherFleet(Case(16, True, True, 1.1, rate=5), make)
         fleet.run(152)
-        lost.append([fleet.worth(*span, lambda q: q.perfect - q.learned) for span in (
-            (0, 10 * SECOND), (90 * SECOND, 150 * SECOND))])
+        lost.append(
+            [
+                fleet.worth(*span, lambda q: q.perfect - q.learned)
+                for span in ((0, 10 * SECOND), (90 * SECOND, 150 * SECOND))
+            ]
+        )
     (early, late), (_, dropped) = lost
     assert late - early < 0.02 and dropped > late + 0.03
 
--- a/tests/test_gather_processes.py
+++ b/tests/test_gather_processes.py
@@ -39,9 +39,20 @@
 
 
 def played(*actions: dict[str, Any], **more: Any) -> Verdict:
-    table = {"seconds": 8, "gather": GATHER, "do": list(actions), **more,
-             "load": {"lookups": 20, "reports": 1, "loads": 1, "surveys": 8, "lookup_ms": 30,
-                      **more.get("load", {})}}
+    table = {
+        "seconds": 8,
+        "gather": GATHER,
+        "do": list(actions),
+        **more,
+        "load": {
+            "lookups": 20,
+            "reports": 1,
+            "loads": 1,
+            "surveys": 8,
+            "lookup_ms": 30,
+            **more.get("load", {}),
+        },
+    }
     verdict = play(from_table(table))
     assert verdict.good, (verdict.faults, verdict.timeline, verdict.starved)
     assert verdict.outcomes["survey served"] > 5 and verdict.outcomes["lookup served"] > 20, verdict.outcomes
@@ -50,26 +61,45 @@
 
 def lacking(verdict: Verdict) -> int:
     """Scattered queries that were answered with less than all of their parts."""
-    return sum(answer.service_class == "survey" and answer.outcome == "served" and len(answer.present) < 6
-               for answer in verdict.answers)
+    return sum(
+        answer.service_class == "survey" and answer.outcome == "served" and len(answer.present) < 6
+        for answer in verdict.answers
+    )
 
 
 def test_an_engine_stalls_another_is_slow_routers_die_or_end_and_engines_drain() -> None:
     verdict = played(
-        do(1, "stick", engines=[0], groups=[3, 9]), do(1.5, "slow", engines=[1], times=8),
-        do(2, "kill", routers=[0]), do(3, "start", routers=[0]), do(3, "drain", engines=[2]),
-        do(4, "stick", engines=[0]), do(4.5, "term", routers=[1]), do(5, "start", routers=[1]),
-        do(6, "slow", engines=[0], times=1), do(6, "slow", engines=[0], groups=[3, 9], times=1),
-        routers=4, engines=5)
+        do(1, "stick", engines=[0], groups=[3, 9]),
+        do(1.5, "slow", engines=[1], times=8),
+        do(2, "kill", routers=[0]),
+        do(3, "start", routers=[0]),
+        do(3, "drain", engines=[2]),
+        do(4, "stick", engines=[0]),
+        do(4.5, "term", routers=[1]),
+        do(5, "start", routers=[1]),
+        do(6, "slow", engines=[0], times=1),
+        do(6, "slow", engines=[0], groups=[3, 9], times=1),
+        routers=4,
+        engines=5,
+    )
     assert lacking(verdict) > 0
 
 
 def test_wires_are_cut_and_stalled_under_a_quota_and_a_router_dies() -> None:
     verdict = played(
-        do(4, "cut_wire", routers=[0], engines=[0, 1]), do(5, "heal_wire"),
-        do(5.5, "stall_wire", routers=[0, 1], engines=[0, 1], way="back"), do(7.5, "heal_wire"),
-        do(6, "restart", routers=[2]), do(8, "reset", engines=[0, 1, 2]), routers=3, engines=4, seconds=10,
-        fleet="enabled = true", channel="enabled = true", quota=QUOTA)
+        do(4, "cut_wire", routers=[0], engines=[0, 1]),
+        do(5, "heal_wire"),
+        do(5.5, "stall_wire", routers=[0, 1], engines=[0, 1], way="back"),
+        do(7.5, "heal_wire"),
+        do(6, "restart", routers=[2]),
+        do(8, "reset", engines=[0, 1, 2]),
+        routers=3,
+        engines=4,
+        seconds=10,
+        fleet="enabled = true",
+        channel="enabled = true",
+        quota=QUOTA,
+    )
     assert verdict.quotas[0]["worst"] > 0
 
 
@@ -89,8 +119,10 @@
 
 
 def told(rows: list[bytes], present: list[int], missing: list[int], **more: Any) -> dict[str, Any]:
-    return {"data": base64.b64encode(b"".join(rows)).decode(),
-            "parts": {"asked": [7, 3, 12, 5], "present": present, "missing": missing, **more}}
+    return {
+        "data": base64.b64encode(b"".join(rows)).decode(),
+        "parts": {"asked": [7, 3, 12, 5], "present": present, "missing": missing, **more},
+    }
 
 
 def test_the_judge_finds_answers_that_are_not_what_they_claim() -> None:
@@ -104,13 +136,18 @@
 
     assert not found(told([a, b, c], [7, 3, 12], [5]))
     for result in (
-            told([a, b, c], [7, 3, 12, 5], []),  # a part that is missing is claimed
-            told([a, b, c, rows[5]], [7, 3, 12, 5], []),  # one that did not come to its end
-            told([a, b, c], [7, 3, 12], []), told([a, b], [7, 3], [12, 5], asked=[7, 3]),
-            told([b, a, c], [7, 3, 12], [5]), told([b, a], [3, 7], [12, 5]),  # rows and groups out of order
-            told([a, a, c], [7, 3, 12], [5]), told([a, b"other\ts-0\tdone\n"], [7, 3], [12, 5]),
-            told([a, b[:-3]], [7, 3], [12, 5]), told([a], [7], [3, 12, 5]),  # cut off; below the least
-            {"data": told([a, b, c], [], [])["data"]}):
+        told([a, b, c], [7, 3, 12, 5], []),  # a part that is missing is claimed
+        told([a, b, c, rows[5]], [7, 3, 12, 5], []),  # one that did not come to its end
+        told([a, b, c], [7, 3, 12], []),
+        told([a, b], [7, 3], [12, 5], asked=[7, 3]),
+        told([b, a, c], [7, 3, 12], [5]),
+        told([b, a], [3, 7], [12, 5]),  # rows and groups out of order
+        told([a, a, c], [7, 3, 12], [5]),
+        told([a, b"other\ts-0\tdone\n"], [7, 3], [12, 5]),
+        told([a, b[:-3]], [7, 3], [12, 5]),
+        told([a], [7], [3, 12, 5]),  # cut off; below the least
+        {"data": told([a, b, c], [], [])["data"]},
+    ):
         assert found(result), result
 
 
--- a/tests/test_generations.py
+++ b/tests/test_generations.py
@@ -168,26 +168,37 @@
     play.ask(b"bare", 0, False, False)
 
 
-@pytest.mark.parametrize("broken, history", [
-    (Speechless, copied_within_a_life), (Forgetting, lost_and_started_twice)])
+@pytest.mark.parametrize(
+    "broken, history", [(Speechless, copied_within_a_life), (Forgetting, lost_and_started_twice)]
+)
 def test_histories_in_which_a_load_runs_twice_where_a_part_is_left_out(
-        broken: type[Stores], history: Callable[[Stores], None]) -> None:
+    broken: type[Stores], history: Callable[[Stores], None]
+) -> None:
     history(Stores())
     with pytest.raises(AssertionError):
         history(broken())
 
 
-@pytest.mark.parametrize("found, sequence, word, standing", [
-    (None, 0, None, Standing.EMPTY), (None, 5, None, Standing.UNNAMED),
-    (None, 0, Word(A, 1, 1), Standing.OTHER),
-    (Identity(A, 2), 9, None, Standing.UNKNOWN), (Identity(A, 2), 9, Word(B, 2, 9), Standing.OTHER),
-    (Identity(A, 2), 9, Word(A, 3, 9), Standing.BEHIND), (Identity(A, 2), 9, Word(A, 2, 10), Standing.BEHIND),
-    (Identity(A, 2), 9, Word(A, 2, 9), Standing.CURRENT),
-    (Identity(A, 2), 9, Word(A, 1, 7), Standing.CURRENT),
-    (Identity(A, 0), 9, Word(B, 2, 20), Standing.ADOPTED), (Identity(A, 0), 9, None, Standing.ADOPTED),
-    (Identity(A, 0), 9, Word(A, 1, 10), Standing.BEHIND)])
-def test_what_a_store_and_a_word_say_together(found: Identity | None, sequence: int, word: Word | None,
-                                              standing: Standing) -> None:
+@pytest.mark.parametrize(
+    "found, sequence, word, standing",
+    [
+        (None, 0, None, Standing.EMPTY),
+        (None, 5, None, Standing.UNNAMED),
+        (None, 0, Word(A, 1, 1), Standing.OTHER),
+        (Identity(A, 2), 9, None, Standing.UNKNOWN),
+        (Identity(A, 2), 9, Word(B, 2, 9), Standing.OTHER),
+        (Identity(A, 2), 9, Word(A, 3, 9), Standing.BEHIND),
+        (Identity(A, 2), 9, Word(A, 2, 10), Standing.BEHIND),
+        (Identity(A, 2), 9, Word(A, 2, 9), Standing.CURRENT),
+        (Identity(A, 2), 9, Word(A, 1, 7), Standing.CURRENT),
+        (Identity(A, 0), 9, Word(B, 2, 20), Standing.ADOPTED),
+        (Identity(A, 0), 9, None, Standing.ADOPTED),
+        (Identity(A, 0), 9, Word(A, 1, 10), Standing.BEHIND),
+    ],
+)
+def test_what_a_store_and_a_word_say_together(
+    found: Identity | None, sequence: int, word: Word | None, standing: Standing
+) -> None:
     assert generations.judge(found, sequence, word) is standing
 
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -16,9 +16,12 @@
     while gateway.now < until:
         for e in list(gateway.controller.engines.values()):
             if e.entry.engine != silent:
-                done += gateway.tell(*[api.AttemptNote(a.query.id, a.number, e.entry.engine,
-                                                       api.NoteKind.SHARE_DONE, 0.9)
-                                       for a in e.attempts.values()])
+                done += gateway.tell(
+                    *[
+                        api.AttemptNote(a.query.id, a.number, e.entry.engine, api.NoteKind.SHARE_DONE, 0.9)
+                        for a in e.attempts.values()
+                    ]
+                )
         done += gateway.wait(gateway.now + 200_000)
     return done
 
@@ -99,15 +102,26 @@
         for cls in gateway.controller.classes:
             cls.bound = 1e9
         service_class, to_bad = n % 2, (lambda e, n=n: n % 2 and e in bad)
-        tries.append(run(gateway, sends(gateway.ask(n, cost=1_000, service_class=service_class,
-                                                    group=float(n)))[0], to_bad))
+        tries.append(
+            run(
+                gateway,
+                sends(gateway.ask(n, cost=1_000, service_class=service_class, group=float(n)))[0],
+                to_bad,
+            )
+        )
     assert gateway.now == first and sum(n - 1 for n in tries) <= 8
     used = {a.engine for _, a in gateway.actions[-100:] if isinstance(a, api.Dispatch)}
     assert used >= set(bad)  # they go on with what they run well
     gateway.wait(gateway.now + 6 * SECOND)
     for n in range(300, 340):
-        assert run(gateway, sends(gateway.ask(n, cost=1_000, service_class=1, group=float(n)))[0],
-                   lambda e: False) == 1
+        assert (
+            run(
+                gateway,
+                sends(gateway.ask(n, cost=1_000, service_class=1, group=float(n)))[0],
+                lambda e: False,
+            )
+            == 1
+        )
     used = {a.engine for _, a in gateway.actions[-40:] if isinstance(a, api.Dispatch)}
     assert used >= set(bad)  # they are tried again after a rest
 
@@ -200,8 +214,9 @@
     held = sends(gateway.ask(1, group=3.0))[0].engine
     for cls in gateway.controller.classes:
         cls.rate, cls.bound = 1e6, 1e9
-    assert all(sends(gateway.ask(n, cost=1_000, service_class=1, group=3.0))[0].engine != held
-               for n in range(2, 8))
+    assert all(
+        sends(gateway.ask(n, cost=1_000, service_class=1, group=3.0))[0].engine != held for n in range(2, 8)
+    )
     assert sends(gateway.ask(8, cost=1_000, service_class=2, group=3.0))[0].engine == held
 
 
@@ -243,11 +258,16 @@
 
 def test_stray_and_unknown_events_are_ignored() -> None:
     gateway = Gateway(settings(), engines=2)
-    for event in (api.TimerFired(10**9), api.QueryGone(5),
-                  api.AttemptNote(5, 0, engine(9), api.NoteKind.SPILLS, 1),
-                  api.AttemptEnded(5, 0, engine(9), api.Outcome.OK), api.PeerMessage(3, b"x"),
-                  api.ProbeEnded(engine(9), api.Outcome.OK), api.StreamBegun(5, 0, engine(9)),
-                  api.QueryArrived(6, 99, SECOND)):
+    for event in (
+        api.TimerFired(10**9),
+        api.QueryGone(5),
+        api.AttemptNote(5, 0, engine(9), api.NoteKind.SPILLS, 1),
+        api.AttemptEnded(5, 0, engine(9), api.Outcome.OK),
+        api.PeerMessage(3, b"x"),
+        api.ProbeEnded(engine(9), api.Outcome.OK),
+        api.StreamBegun(5, 0, engine(9)),
+        api.QueryArrived(6, 99, SECOND),
+    ):
         assert gateway.tell(event) == []
     first = sends(gateway.ask(1))[0]
     gateway.end(first, api.Outcome.OK)
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -33,8 +33,11 @@
 
 AGES = Ages(pace=200_000, costs=400_000, ill=300_000, groups=800_000)  # short, as messages are 0.8 s late
 PARTS: dict[int, float] = {
-    Kind.DECISIONS: Parts().decisions, Kind.VIEW: Parts().view, Kind.COMEBACK: Parts().comeback,
-    Kind.QUOTA: Parts().quota}
+    Kind.DECISIONS: Parts().decisions,
+    Kind.VIEW: Parts().view,
+    Kind.COMEBACK: Parts().comeback,
+    Kind.QUOTA: Parts().quota,
+}
 MOST_REST_S = 60
 SLOW = Weather(2_000, 800_000, 0.1, 0.3)
 TOLD_US = 250_000  # between messages of the decisions, cut to the room that there is
@@ -54,13 +57,22 @@
             self._tell(me)
 
     def _build(self, seed: int, weather: Weather | None, drift_ppm: int) -> Routers:
-        return Routers(self.size, self._parties, seed, weather=weather, drift_ppm=drift_ppm, parts=PARTS,
-                       view=lambda me, life, now: Membership(
-                           me, self.size, life, life * 256 + me, now, timing=Timing(rate=660)))
+        return Routers(
+            self.size,
+            self._parties,
+            seed,
+            weather=weather,
+            drift_ppm=drift_ppm,
+            parts=PARTS,
+            view=lambda me, life, now: Membership(
+                me, self.size, life, life * 256 + me, now, timing=Timing(rate=660)
+            ),
+        )
 
     def _parties(self, me: int, life: int, now: int) -> dict[int, Party]:
-        machine = Comeback(me, self.size, (life * 7919 + me) * 0x9E3779B97F4A7C15 % 2**60, now, self._knows,
-                           Ways(ages=AGES))
+        machine = Comeback(
+            me, self.size, (life * 7919 + me) * 0x9E3779B97F4A7C15 % 2**60, now, self._knows, Ways(ages=AGES)
+        )
         machine.engines, machine.inherited = 8, self._inherited
         quotas = Quotas(me, self.size, self.plans[me], Random(life * 256 + me), now)
 
@@ -157,7 +169,8 @@
 
 @pytest.mark.parametrize(("size", "seed", "steps"), [(3, 1, 40), (3, 2, 40), (3, 3, 40), (40, 4, 12)])
 def test_all_parts_together_keep_their_bounds_and_all_are_full_in_the_end(
-        size: int, seed: int, steps: int) -> None:
+    size: int, seed: int, steps: int
+) -> None:
     fleet = history(size, seed, steps)
     assert fleet.check() == [] and fleet.settled() == [] and fleet.rested_s <= 15
     assert fleet.begun_with and fleet.admitted and max(fleet.routers.fullest) > BYTES / 2
@@ -207,10 +220,13 @@
     chosen = parser.parse_args()
     for seed in chosen.seeds:
         fleet = history(chosen.size, seed, chosen.steps)
-        print(f"{chosen.size} routers, seed {seed}: worst window {worst_burst(fleet.admitted, RATE):.0f}, "
-              f"fullest second {max(fleet.routers.fullest)}, {fleet.begun_with} began with news, "
-              f"settled after {fleet.rested_s} s, {fleet.routers.network.messages} messages; "
-              f"{fleet.check() + fleet.settled()[:3] or 'all bounds kept'}", flush=True)
+        print(
+            f"{chosen.size} routers, seed {seed}: worst window {worst_burst(fleet.admitted, RATE):.0f}, "
+            f"fullest second {max(fleet.routers.fullest)}, {fleet.begun_with} began with news, "
+            f"settled after {fleet.rested_s} s, {fleet.routers.network.messages} messages; "
+            f"{fleet.check() + fleet.settled()[:3] or 'all bounds kept'}",
+            flush=True,
+        )
 
 
 if __name__ == "__main__":
--- a/tests/test_http_exchange.py
+++ b/tests/test_http_exchange.py
@@ -57,7 +57,8 @@
     model.connect()
     model.arrive(0)
     model.attempt.noted = lambda kind, value: model.loop.call_soon(  # type: ignore[method-assign]
-        model.exchange.stop, Outcome.CANCELLED)
+        model.exchange.stop, Outcome.CANCELLED
+    )
     model.answer(0, "note")
     assert [call for _, call in model.flying] == ["DELETE /obj/9b1f03aa5c7e2d41"] and not model.dialer.waiting
 
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -43,8 +43,9 @@
         return await one_page(call, writer)
 
 
-async def load(client: JsonClient, txn: str = TXN, sql: str = "INSERT INTO sales_1.t VALUES (1)",
-               **more: Any) -> dict[str, Any]:
+async def load(
+    client: JsonClient, txn: str = TXN, sql: str = "INSERT INTO sales_1.t VALUES (1)", **more: Any
+) -> dict[str, Any]:
     client.query("ticket-load", sql, **{"txn": txn, "limit": 5000, **more})
     return await client.answer()
 
@@ -70,6 +71,7 @@
 
 def test_one_that_comes_back_while_it_runs_waits_for_the_same_end(tmp_path: Path) -> None:
     """The device that lost its connection: its load runs on, and whoever repeats it gets its answer."""
+
     async def test() -> None:
         engine = Held()
         async with Loopback(engine, store_file=store_file(tmp_path)) as net:
@@ -98,8 +100,9 @@
             first, second = await net.client(), await net.client()
             ids = []
             for client in (first, second):
-                ids.append(client.query("ticket-load", "INSERT INTO sales_1.t VALUES (1)", txn=TXN,
-                                        limit=5000))
+                ids.append(
+                    client.query("ticket-load", "INSERT INTO sales_1.t VALUES (1)", txn=TXN, limit=5000)
+                )
                 await until(lambda: bool(engine.named("POST")))
             await until(lambda: len(net.router.core.guardian._waiters.get(b"json:" + TXN.encode(), [])) == 1)  # type: ignore[union-attr]
             first.cancel(ids[0])
@@ -172,7 +175,8 @@
 
 
 def test_while_the_disk_stalls_loads_are_answered_in_time_and_never_sent_late(
-        tmp_path: Path, disk: SlowDisk) -> None:
+    tmp_path: Path, disk: SlowDisk
+) -> None:
     async def test() -> None:
         engine = StandInEngine()
         async with Loopback(engine, store_file=store_file(tmp_path)) as net:
@@ -211,6 +215,7 @@
 
 def test_an_end_that_the_disk_did_not_take_is_written_once_it_can(tmp_path: Path, disk: SlowDisk) -> None:
     """Guards against an intent that stays open for good because its end fell into a failure of the disk."""
+
     async def test() -> None:
         engine = Held()
         async with Loopback(engine, store_file=store_file(tmp_path, commit="{ retry_ms = 1 }")) as net:
@@ -271,8 +276,9 @@
     async def test() -> None:
         engine = MysqlEngine()
         await engine.start()
-        async with Loopback(StandInEngine(), mysql_file=mysql_file(tmp_path, engine),
-                            store_file=store_file(tmp_path)) as net:
+        async with Loopback(
+            StandInEngine(), mysql_file=mysql_file(tmp_path, engine), store_file=store_file(tmp_path)
+        ) as net:
             clients = [await MysqlClient.connect(net.port(1)) for _ in range(2)]
             assert [await client.query(LOAD) for client in clients] == [[bytes([100]) + b"x" * 100]] * 2
             assert engine.executed == {LOAD.encode(): 1}
@@ -345,8 +351,11 @@
         with pytest.raises(MysqlError) as problem:
             await again.query(LOAD)
         assert "may have run" in problem.value.text and engine.killed == []
-        await until(lambda: any(b"may have run" in value for value in survey(
-            Folder(tmp_path / "data")).records.values()))  # settled for good
+        await until(
+            lambda: any(
+                b"may have run" in value for value in survey(Folder(tmp_path / "data")).records.values()
+            )
+        )  # settled for good
         await router.kill()
         assert engine.executed[LOAD.encode()] == 1
         engine.uptime_s = 10_000
@@ -374,6 +383,7 @@
 
 def test_the_ration_is_written_and_taken_back(tmp_path: Path) -> None:
     """Further attempts of a life that ended count in the next one."""
+
     async def turn_away(call: HttpCall, writer: asyncio.StreamWriter) -> bytes | None:
         return http_answer(503, X_No_Effect="1")
 
@@ -415,8 +425,10 @@
         router = RouterProcess(tmp_path, {"s-0": engine.port})
         await router.start()
         await router.read.wait()
-        for more, told in (({"later_ms": "-1"}, "the old one stays: store.toml: later_ms"),
-                           ({"later_ms": "5", "segment_mb": "4"}, "next start: store.segment_bytes")):
+        for more, told in (
+            ({"later_ms": "-1"}, "the old one stays: store.toml: later_ms"),
+            ({"later_ms": "5", "segment_mb": "4"}, "next start: store.segment_bytes"),
+        ):
             store_file(tmp_path, **more)
             assert router.process is not None
             router.process.send_signal(signal.SIGHUP)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -77,8 +77,12 @@
     @rule(key=KEYS)
     def an_attempt_is_decided(self, key: bytes) -> None:
         entry = self.ledger.entries.get(key)
-        if entry is not None and entry.phase is not Phase.ENDED and not entry.left and all(
-                gate[0] is not entry for gate in self.gates):
+        if (
+            entry is not None
+            and entry.phase is not Phase.ENDED
+            and not entry.left
+            and all(gate[0] is not entry for gate in self.gates)
+        ):
             self.append(self.ledger.intend(entry, intent(self.attempts[key], self.now), self.now))
             self.gates.append((entry, self.attempts[key], len(self.log)))
             self.attempts[key] += 1
@@ -135,7 +139,7 @@
 
     @rule(lost=st.integers(0, 20), clock_back=st.integers(0, 60))
     def the_router_dies(self, lost: int, clock_back: int) -> None:
-        self.log = self.log[:max(self.acked, len(self.log) - lost)]
+        self.log = self.log[: max(self.acked, len(self.log) - lost)]
         self.acked = len(self.log)
         store = self.stored()
         self.now = max(0, self.now - clock_back)
@@ -162,7 +166,8 @@
 
 
 Lives.TestCase.settings = hypothesis_settings(
-    max_examples=200, stateful_step_count=40, deadline=None, derandomize=True)
+    max_examples=200, stateful_step_count=40, deadline=None, derandomize=True
+)
 TestLives = Lives.TestCase
 
 
@@ -215,7 +220,10 @@
     entry = ledger.entries[b"k"]
     changes = ledger.rewrite([b"rk", ANSWER + b"k", b"rgone"])
     assert [(key, value is None) for key, value in changes] == [
-        (ANSWER + b"k", True), (b"rgone", True), (b"rk", False)]
+        (ANSWER + b"k", True),
+        (b"rgone", True),
+        (b"rk", False),
+    ]
     apply(store, changes)
     assert entry.answer_bytes == -1 and ledger.ask(b"k", ONE, True, 9) is Verdict.ANSWER_GONE
     again = Ledger()
@@ -251,7 +259,10 @@
 def test_keys_are_bounded_and_nameless_ones_forgotten_with_their_end() -> None:
     ledger = Ledger(Keeping(most_keys=2))
     assert [ledger.ask(key, ONE, key != b"x", 0) for key in (b"a", b"x", b"c")] == [
-        Verdict.NEW, Verdict.NEW, Verdict.NO_ROOM]
+        Verdict.NEW,
+        Verdict.NEW,
+        Verdict.NO_ROOM,
+    ]
     entry = ledger.entries[b"x"]
     ledger.intend(entry, intent(), 0)
     ledger.leaves(entry, 0)
@@ -280,7 +291,9 @@
     learned = {outcome: recovery.judge(outcome) for outcome in Outcome}
     assert {outcome for outcome, what in learned.items() if what is Learned.SERVED} == {Outcome.OK}
     assert {outcome for outcome, what in learned.items() if what is Learned.UNRUN} == {
-        Outcome.FULL, Outcome.MOOT}
+        Outcome.FULL,
+        Outcome.MOOT,
+    }
 
 
 def test_a_younger_server_s_threads_are_not_ours() -> None:
@@ -313,7 +326,7 @@
     """Queries whose first attempt is turned away by a full engine; how many got another."""
     count = 0
     for number in queries:
-        first, = sends(gateway.ask(number))
+        (first,) = sends(gateway.ask(number))
         for further in sends(gateway.end(first, Outcome.FULL)):
             count += 1
             gateway.end(further, Outcome.OK, attempt=1)
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -157,11 +157,15 @@
 
 @pytest.mark.parametrize(("kind", "least_s", "most_s"), [(Lives, 0, 2.3), (Forgets, 3, 9)])
 def test_all_lives_are_noted_within_three_windows_of_their_part_after_a_restart_of_all(
-        kind: type[Lives], least_s: float, most_s: float) -> None:
+    kind: type[Lives], least_s: float, most_s: float
+) -> None:
     """Guards against answers lost for want of room, and questions said anew in theirs."""
     random, begun, took = Random(1), set[int](), 0.0
-    routers = Routers(SIZE, lambda me, life, now: {Kind.LIVES: kind(me, SIZE, random.getrandbits(32), now)},
-                      parts={Kind.LIVES: 0.083, Kind.VIEW: 0.9})
+    routers = Routers(
+        SIZE,
+        lambda me, life, now: {Kind.LIVES: kind(me, SIZE, random.getrandbits(32), now)},
+        parts={Kind.LIVES: 0.083, Kind.VIEW: 0.9},
+    )
     routers.start()
     found = [cast(Lives, routers.party(me, Kind.LIVES)) for me in range(SIZE)]
     for lives, mux in zip(found, routers.muxes, strict=True):
@@ -220,8 +224,17 @@
 
 def test_a_body_that_cannot_be_read_changes_nothing() -> None:
     lives = Lives(0, SIZE, 7, 0)
-    for body in (b"", b"x" * 28, b"\xff" * 29, bytes(29), bytes([4] * 9), bytes([1] * 21), bytes([3] * 29),
-                 bytes([5] * 21), b"x" * 300):
+    for body in (
+        b"",
+        b"x" * 28,
+        b"\xff" * 29,
+        bytes(29),
+        bytes([4] * 9),
+        bytes([1] * 21),
+        bytes([3] * 29),
+        bytes([5] * 21),
+        b"x" * 300,
+    ):
         assert lives.receive(0, 1, 1, body) == [] and not lives.remembered and not lives.heard
 
 
@@ -239,10 +252,20 @@
         own.mkdir()
         (own / "channel.toml").write_text("enabled = true\n")
         store_file(own, later_ms="20", loss="{ enabled = true, fleet = true }")
-        found.append(RouterProcess(own, {"s-0": engine}, settings={
-            **SETTINGS, "balancers": count, "me": number,
-            "policyLimits": {**SETTINGS["policyLimits"], "mayTell": True}},
-            peers=peers, peer_listen=peers[number]))
+        found.append(
+            RouterProcess(
+                own,
+                {"s-0": engine},
+                settings={
+                    **SETTINGS,
+                    "balancers": count,
+                    "me": number,
+                    "policyLimits": {**SETTINGS["policyLimits"], "mayTell": True},
+                },
+                peers=peers,
+                peer_listen=peers[number],
+            )
+        )
     return found
 
 
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -98,6 +98,7 @@
 
 def test_a_load_whose_store_was_lost_runs_again_with_the_part_off(tmp_path: Path) -> None:
     """The need: nothing else holds its key."""
+
     async def test() -> None:
         router, http, _ = await started(tmp_path, "")
         await again(router, "store: read")
@@ -145,8 +146,11 @@
             os.truncate(active(data), HEAD_BYTES + 1)
 
         harms: list[tuple[Callable[[], None], str]] = [
-            (partial(old, "second"), "it is an older state"), (delete, "another store was in its place"),
-            (partial(old, "first"), "another store was"), (cut, "another store was")]
+            (partial(old, "second"), "it is an older state"),
+            (delete, "another store was in its place"),
+            (partial(old, "first"), "another store was"),
+            (cut, "another store was"),
+        ]
         for number, (harm, told) in enumerate(harms):
             assert "result" in await ask(router, f"{number:016x}")
             assert await ask_mysql(router, SQL.replace("k1", f"n{number}")) == ""
@@ -208,22 +212,28 @@
     run(test)
 
 
-@pytest.mark.parametrize("loss, told", [
-    ("repeat_window_s = 7201", "loss.repeat_window_s: want at most keep.retention_h (7200 s)"),
-    ('marked = ["http"]', "loss.marked[0]: "),
-    ("anywhere = true", "loss.anywhere: want fronts in loss.marked"),
-    ('marker = "data/marker"', "loss.marker: want a file outside of the store's folder")])
+@pytest.mark.parametrize(
+    "loss, told",
+    [
+        ("repeat_window_s = 7201", "loss.repeat_window_s: want at most keep.retention_h (7200 s)"),
+        ('marked = ["http"]', "loss.marked[0]: "),
+        ("anywhere = true", "loss.anywhere: want fronts in loss.marked"),
+        ('marker = "data/marker"', "loss.marker: want a file outside of the store's folder"),
+    ],
+)
 def test_mistakes_in_the_part_name_file_and_key(tmp_path: Path, loss: str, told: str) -> None:
-    net = Loopback(store_file=store_file(tmp_path, keep="{ retention_h = 2 }",
-                                         loss="{ enabled = true, " + loss + " }"))
+    net = Loopback(
+        store_file=store_file(tmp_path, keep="{ retention_h = 2 }", loss="{ enabled = true, " + loss + " }")
+    )
     with pytest.raises(ConfigError) as problem:
         net.journal.port = 1
         net.config([])
     assert str(problem.value).startswith("store.toml: " + told)
 
 
-def test_a_marker_that_cannot_be_written_keeps_attempts_back(tmp_path: Path,
-                                                             monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_marker_that_cannot_be_written_keeps_attempts_back(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def test() -> None:
         engine = StandInEngine()
         file = store_file(tmp_path, keep="{ retention_h = 2 }", loss=LOST)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -33,14 +33,31 @@
 LOSSY = Weather(loss=0.1, double=0.05)
 BYTE, SHORT, LONG = st.integers(0, 255), st.integers(0, 2**16 - 1), st.integers(0, 2**32 - 1)
 STATES = st.sampled_from([State.ALIVE, State.GONE, State.LEFT])
-CLAIMS = (st.builds(News, st.integers(0, 1000), STATES, st.integers(0, 3) | LONG, st.just(0))
-          | st.builds(News, SHORT, st.just(State.SUSPECT), LONG, SHORT))
+CLAIMS = st.builds(News, st.integers(0, 1000), STATES, st.integers(0, 3) | LONG, st.just(0)) | st.builds(
+    News, SHORT, st.just(State.SUSPECT), LONG, SHORT
+)
 KINDS = st.sampled_from([Kind.PING, Kind.ACK, Kind.NEWS])
 MESSAGES = st.builds(
-    Message, KINDS, SHORT, LONG, SHORT, LONG, SHORT, BYTE, st.integers(0, 63), st.just(0), st.just(()),
-    news=st.lists(CLAIMS, max_size=300, unique_by=lambda item: item.number).map(lambda items: tuple(sorted(
-        codec.fit(items, frame.MOST_BYTES - codec.bare(0, True))[0],
-        key=lambda item: (item.state, item.incarnation, item.number)))))
+    Message,
+    KINDS,
+    SHORT,
+    LONG,
+    SHORT,
+    LONG,
+    SHORT,
+    BYTE,
+    st.integers(0, 63),
+    st.just(0),
+    st.just(()),
+    news=st.lists(CLAIMS, max_size=300, unique_by=lambda item: item.number).map(
+        lambda items: tuple(
+            sorted(
+                codec.fit(items, frame.MOST_BYTES - codec.bare(0, True))[0],
+                key=lambda item: (item.state, item.incarnation, item.number),
+            )
+        )
+    ),
+)
 
 
 @given(MESSAGES, st.sampled_from([b"", b"k" * 16]))
@@ -54,8 +71,12 @@
     assert not frame.is_ours(DECISIONS_HEAD.pack(int.from_bytes(b"slb\1", "little"), 1))
 
 
-@given(st.binary(max_size=300) | MESSAGES.map(codec.encode).flatmap(
-    lambda data: st.integers(0, len(data)).map(lambda n: data[:n] + b"\x07" * (n % 3))))
+@given(
+    st.binary(max_size=300)
+    | MESSAGES.map(codec.encode).flatmap(
+        lambda data: st.integers(0, len(data)).map(lambda n: data[:n] + b"\x07" * (n % 3))
+    )
+)
 @hypothesis_settings(derandomize=True, deadline=None)
 def test_garbage_changes_nothing_that_others_could_see(data: bytes) -> None:
     member = Membership(0, 4, 7, 1, EPOCH)
@@ -80,7 +101,7 @@
     data = bytearray(codec.encode(Message(Kind.PING, 1, 1, 3, 0, 9)))
     member = Membership(0, 3, 7, 1, EPOCH)
     for place, value in ((4, frame.FLAG | 99), (3, 1), (3, 3)):
-        later = bytes(data[:place]) + bytes([value]) + bytes(data[place + 1:-frame.SUM_BYTES])
+        later = bytes(data[:place]) + bytes([value]) + bytes(data[place + 1 : -frame.SUM_BYTES])
         assert not member.receive(EPOCH, later + frame.seal(later, b""), 1)
     assert member.counts["skipped"] == 3 and not member.counts["garbled"]
 
@@ -287,14 +308,20 @@
 
 
 def test_status_and_metrics_tell_the_view(monkeypatch: pytest.MonkeyPatch) -> None:
-    config: Any = SimpleNamespace(settings=settings(SAFE, gateways=3), peers=[("127.0.0.1", 1)] * 3, seed=7,
-                                  name="n0", zones=["east", "west"])
+    config: Any = SimpleNamespace(
+        settings=settings(SAFE, gateways=3),
+        peers=[("127.0.0.1", 1)] * 3,
+        seed=7,
+        name="n0",
+        zones=["east", "west"],
+    )
     view = FleetConfig(Timing(), 1, b"", b"", True, True)
     nothing = cast(Any, SimpleNamespace())
     speaker = Speaker(config, view, nothing, lambda: EPOCH, nothing, lambda count: None)
     speaker.machine.receive(EPOCH, codec.encode(Message(Kind.PING, 1, 0, 5, 0, 9, zone=1)), 1)
-    speaker.machine.receive(EPOCH, codec.encode(Message(Kind.NEWS, 1, 0, 5, 0, news=(
-        News(2, State.GONE, 0),))), 1)
+    speaker.machine.receive(
+        EPOCH, codec.encode(Message(Kind.NEWS, 1, 0, 5, 0, news=(News(2, State.GONE, 0),))), 1
+    )
     monkeypatch.setattr("slipbay.fleet.asking.ask", lambda target, seconds: speaker.status())
     shown = CliRunner().invoke(cli, ["fleet", "status", "127.0.0.1:7946"])
     assert shown.exit_code == 0 and "living     2 of 3, by zone: east 1, west 1" in shown.output
--- a/tests/test_mysql_front.py
+++ b/tests/test_mysql_front.py
@@ -16,12 +16,15 @@
 
 
 @asynccontextmanager
-async def network(folder: Path, *engines: MysqlEngine, extra: str = "",
-                  deadlines: str = "") -> AsyncIterator[Loopback]:
+async def network(
+    folder: Path, *engines: MysqlEngine, extra: str = "", deadlines: str = ""
+) -> AsyncIterator[Loopback]:
     for engine in engines:
         await engine.start()
-    async with Loopback(*(StandInEngine() for _ in engines),
-                        mysql_file=mysql_file(folder, *engines, extra=extra, deadlines=deadlines)) as net:
+    async with Loopback(
+        *(StandInEngine() for _ in engines),
+        mysql_file=mysql_file(folder, *engines, extra=extra, deadlines=deadlines),
+    ) as net:
         yield net
     for engine in engines:
         engine.server.close()
@@ -68,14 +71,23 @@
     run(test)
 
 
-@pytest.mark.parametrize("statement, code", [
-    ("BEGIN", 1235), ("SET autocommit=0", 1235), ("USE other", 1235), ("SELECT @x", 1235), ("COMMIT", 1235),
-    ("SELECT GET_LOCK('a', 1)", 1235), ("/*!50000 SET x = 1 */", 1235),
-    ("CREATE TEMPORARY TABLE t (a INT)", 1235),
-    ("SELECT broken FROM sales_1.orders", 1064),
-])
+@pytest.mark.parametrize(
+    "statement, code",
+    [
+        ("BEGIN", 1235),
+        ("SET autocommit=0", 1235),
+        ("USE other", 1235),
+        ("SELECT @x", 1235),
+        ("COMMIT", 1235),
+        ("SELECT GET_LOCK('a', 1)", 1235),
+        ("/*!50000 SET x = 1 */", 1235),
+        ("CREATE TEMPORARY TABLE t (a INT)", 1235),
+        ("SELECT broken FROM sales_1.orders", 1064),
+    ],
+)
 def test_what_cannot_be_served_gets_an_error_and_the_connection_goes_on(
-        tmp_path: Path, statement: str, code: int) -> None:
+    tmp_path: Path, statement: str, code: int
+) -> None:
     async def test() -> None:
         async with network(tmp_path, MysqlEngine()) as net:
             client = await office(net)
@@ -92,9 +104,14 @@
     async def test() -> None:
         async with network(tmp_path, MysqlEngine()) as net:
             client = await office(net)
-            for code, rest, wanted in ((0x1C, b"\1\0\0\0\1\0\0\0", 1235), (0x02, b"x", 1235),
-                                       (0x11, b"", 1047), (0x63, b"", 1047),
-                                       (0x17, b"\x63\0\0\0\0\1\0\0\0", 1243), (0x1A, b"\x63\0\0\0", 1243)):
+            for code, rest, wanted in (
+                (0x1C, b"\1\0\0\0\1\0\0\0", 1235),
+                (0x02, b"x", 1235),
+                (0x11, b"", 1047),
+                (0x63, b"", 1047),
+                (0x17, b"\x63\0\0\0\0\1\0\0\0", 1243),
+                (0x1A, b"\x63\0\0\0", 1243),
+            ):
                 client.command(code, rest)
                 with pytest.raises(MysqlError) as raised:
                     await client.answer()
@@ -122,9 +139,15 @@
     run(test)
 
 
-@pytest.mark.parametrize("how, code", [
-    ({"password": b"wrong"}, 1045), ({"user": "nobody"}, 1045), ({"database": "other"}, 1049),
-    ({"charset": 8}, 1115)])
+@pytest.mark.parametrize(
+    "how, code",
+    [
+        ({"password": b"wrong"}, 1045),
+        ({"user": "nobody"}, 1045),
+        ({"database": "other"}, 1049),
+        ({"charset": 8}, 1115),
+    ],
+)
 def test_logins_that_are_turned_away(tmp_path: Path, how: dict[str, object], code: int) -> None:
     async def test() -> None:
         async with network(tmp_path, MysqlEngine()) as net:
@@ -185,6 +208,7 @@
 @pytest.mark.parametrize("seed", range(4))
 def test_no_load_runs_twice_and_no_query_twice_at_once(tmp_path: Path, seed: int) -> None:
     """Engines break connections off at random points of a command's life, mid-answer too."""
+
     async def test() -> None:
         draw = random.Random(seed)
 
@@ -216,8 +240,15 @@
 
         async with network(tmp_path, *engines, deadlines="lookup = 400\nticket-load = 400") as net:
             await asyncio.gather(*(client_runs(net, name) for name in range(8)))
-        counts = {value: sum(count for engine in engines for what, count in engine.executed.items()
-                             if what.endswith(value.encode())) for value in served + failed}
+        counts = {
+            value: sum(
+                count
+                for engine in engines
+                for what, count in engine.executed.items()
+                if what.endswith(value.encode())
+            )
+            for value in served + failed
+        }
         assert served and failed
         for value, count in counts.items():
             assert count <= 1 or value.startswith("SELECT")
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -19,7 +19,8 @@
     b"HTTP/1.1 100 Continue\r\n\r\n" * 200 + b"HTTP/1.1 204 No Content\r\n\r\n",
     b"HTTP/1.1 200 OK\r\ncontent-length:5\r\nConnection: close\r\n\r\na\tb\tc",
     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=1\r\nabc\r\n2\r\nde\r\n0\r\nT: 1\r\n\r\n",
-    b"HTTP/1.1 500 No\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+    b"HTTP/1.1 500 No\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+)
 LINES = b'{"id":1}\r\n\n{"id":2}\n{"id":'
 PACKETS = b"\1\0\0\0\x0e" + b"\0\0\0\1" + b"\3\0\0\2abc" + b"\5\0\0"
 
@@ -33,9 +34,14 @@
     return found
 
 
-@pytest.mark.parametrize("make, data", [
-    *((http1.Responses, one) for one in RESPONSES), (lambda: Lines(100), LINES),
-    (lambda: mysql.Packets(100), PACKETS)])
+@pytest.mark.parametrize(
+    "make, data",
+    [
+        *((http1.Responses, one) for one in RESPONSES),
+        (lambda: Lines(100), LINES),
+        (lambda: mysql.Packets(100), PACKETS),
+    ],
+)
 @given(cuts=st.lists(st.integers(0, 400), max_size=8))
 def test_chunking_changes_nothing(make: Callable[[], Any], data: bytes, cuts: list[int]) -> None:
     assert whole(make, data, [min(cut, len(data)) for cut in cuts]) == whole(make, data, [])
@@ -44,17 +50,43 @@
 def test_what_the_parsers_find() -> None:
     found = [response for one in RESPONSES for response in whole(http1.Responses, one, [])]
     assert [(r.status, r.body, r.keep) for r in found] == [
-        (202, b"", True), (204, b"", True), (200, b"a\tb\tc", False), (200, b"abcde", True), (500, b"", True)]
+        (202, b"", True),
+        (204, b"", True),
+        (200, b"a\tb\tc", False),
+        (200, b"abcde", True),
+        (500, b"", True),
+    ]
     assert whole(lambda: Lines(100), LINES, []) == [b'{"id":1}', b"", b'{"id":2}']
     assert whole(lambda: mysql.Packets(100), PACKETS, []) == [(0, b"\x0e"), (1, b""), (2, b"abc")]
 
 
-@pytest.mark.parametrize("make, allowed", [
-    (http1.Responses, http1.MalformedResponse), (lambda: Lines(16), LineTooLong),
-    (lambda: mysql.Packets(16), mysql.PacketTooLarge)])
-@given(data=st.one_of(st.binary(max_size=64), st.lists(st.sampled_from(
-    [b"HTTP/1.1 200 x\r\n", b"Content-Length: -1\r\n", b"Transfer-Encoding: chunked\r\n", b"\r\n", b"zz\r\n",
-     b":", b"99999999999\r\n", b"\xff\xff\xff\0"])).map(b"".join)))
+@pytest.mark.parametrize(
+    "make, allowed",
+    [
+        (http1.Responses, http1.MalformedResponse),
+        (lambda: Lines(16), LineTooLong),
+        (lambda: mysql.Packets(16), mysql.PacketTooLarge),
+    ],
+)
+@given(
+    data=st.one_of(
+        st.binary(max_size=64),
+        st.lists(
+            st.sampled_from(
+                [
+                    b"HTTP/1.1 200 x\r\n",
+                    b"Content-Length: -1\r\n",
+                    b"Transfer-Encoding: chunked\r\n",
+                    b"\r\n",
+                    b"zz\r\n",
+                    b":",
+                    b"99999999999\r\n",
+                    b"\xff\xff\xff\0",
+                ]
+            )
+        ).map(b"".join),
+    )
+)
 def test_garbage_raises_nothing_else(make: Callable[[], Any], allowed: type[Exception], data: bytes) -> None:
     try:
         whole(make, data, [])
@@ -68,21 +100,40 @@
         while not reader.feed(data):
             pass
 
-    for read in (mysql.read_greeting, mysql.read_login, mysql.read_err, mysql.read_auth_switch,
-                 mysql.statement_of, mysql.read_long_data,
-                 lambda d: mysql.read_execute(b"\x17" + d, 3, b"", {}),
-                 lambda d: mysql.PrepareReader().feed(d), lambda d: mysql.ResultReader().feed(d)):
+    for read in (
+        mysql.read_greeting,
+        mysql.read_login,
+        mysql.read_err,
+        mysql.read_auth_switch,
+        mysql.statement_of,
+        mysql.read_long_data,
+        lambda d: mysql.read_execute(b"\x17" + d, 3, b"", {}),
+        lambda d: mysql.PrepareReader().feed(d),
+        lambda d: mysql.ResultReader().feed(d),
+    ):
         try:
             read(data)
         except (mysql.MalformedPacket, NotImplementedError):
             pass
 
 
-@given(line=st.one_of(st.binary(max_size=60), st.recursive(
-    st.none() | st.booleans() | st.floats() | st.text(max_size=5) | st.integers(),
-    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(
-        st.sampled_from(["id", "jsonrpc", "method", "params", "txn", "limit", "data", "cpu"]), inner,
-        max_size=4), max_leaves=6).map(lambda value: json.dumps(value).encode())))
+@given(
+    line=st.one_of(
+        st.binary(max_size=60),
+        st.recursive(
+            st.none() | st.booleans() | st.floats() | st.text(max_size=5) | st.integers(),
+            lambda inner: (
+                st.lists(inner, max_size=3)
+                | st.dictionaries(
+                    st.sampled_from(["id", "jsonrpc", "method", "params", "txn", "limit", "data", "cpu"]),
+                    inner,
+                    max_size=4,
+                )
+            ),
+            max_leaves=6,
+        ).map(lambda value: json.dumps(value).encode()),
+    )
+)
 def test_any_line_is_a_query_or_a_problem(line: bytes) -> None:
     try:
         jsonrpc.read_query(jsonrpc.parse(line))
@@ -113,28 +164,49 @@
     assert mysql.prove(mysql.CACHING_SHA2, b"", challenge) == b"" and mysql.prove("other", b"", b"") is None
 
 
-@pytest.mark.parametrize("statement, group", [
-    ("SELECT * FROM sales_17.orders", 17), ("select a from `sales_17`.`orders`", 17),
-    ('SELECT a FROM "sales_17"."orders"', 17), ("INSERT INTO sales_4.t SELECT * FROM staging.load_99", 4),
-    ("INSERT INTO sales_4.t SELECT * FROM staging_8.x", 4), ("SELECT * FROM staging.a_1, sales_3.b", 3),
-    ("SELECT 'FROM x_1.y' FROM sales_2.z -- FROM x_5.y", 2),
-    ("/* FROM a_9.b */ UPDATE sales_6.t SET x = 1", 6),
-    ("SELECT t_1.a FROM sales_2.t AS t_1", 2), ("SELECT a FROM (SELECT b FROM sales_5.c) d", 5),
-    ("SELECT 1", 0), ("SELECT * FROM plain", 0), ("SELECT * FROM a JOIN sales_12.b ON a.x_1 = b.y", 12),
-    ("DELETE FROM sales_8.t WHERE a = 'it''s x_1.y'", 8), ("SELECT * FROM sales_ 1.x", 0),
-    (r"SELECT * FROM a WHERE b = 'it\'s FROM x_1.y' AND c IN (SELECT d FROM sales_7.e)", 7)])
+@pytest.mark.parametrize(
+    "statement, group",
+    [
+        ("SELECT * FROM sales_17.orders", 17),
+        ("select a from `sales_17`.`orders`", 17),
+        ('SELECT a FROM "sales_17"."orders"', 17),
+        ("INSERT INTO sales_4.t SELECT * FROM staging.load_99", 4),
+        ("INSERT INTO sales_4.t SELECT * FROM staging_8.x", 4),
+        ("SELECT * FROM staging.a_1, sales_3.b", 3),
+        ("SELECT 'FROM x_1.y' FROM sales_2.z -- FROM x_5.y", 2),
+        ("/* FROM a_9.b */ UPDATE sales_6.t SET x = 1", 6),
+        ("SELECT t_1.a FROM sales_2.t AS t_1", 2),
+        ("SELECT a FROM (SELECT b FROM sales_5.c) d", 5),
+        ("SELECT 1", 0),
+        ("SELECT * FROM plain", 0),
+        ("SELECT * FROM a JOIN sales_12.b ON a.x_1 = b.y", 12),
+        ("DELETE FROM sales_8.t WHERE a = 'it''s x_1.y'", 8),
+        ("SELECT * FROM sales_ 1.x", 0),
+        (r"SELECT * FROM a WHERE b = 'it\'s FROM x_1.y' AND c IN (SELECT d FROM sales_7.e)", 7),
+    ],
+)
 def test_the_group_of_tables(statement: str, group: int) -> None:
     assert sql.table_group(statement) == group
 
 
-@pytest.mark.parametrize("statement, reads", [
-    ("SELECT 1", True), ("  (select 1)", True), ("SHOW TABLES", True),
-    ("WITH a AS (SELECT 1) SELECT * FROM a", True),
-    ("WITH a AS (SELECT 1) DELETE FROM b", False), ("SELECT 1 INTO OUTFILE 'x'", False),
-    ("SELECT a FROM b FOR UPDATE", False), ("SELECT 'update' FROM b", True),
-    ("INSERT INTO a VALUES (1)", False),
-    ("/* SELECT */ DELETE FROM a", False), ("/*! INSERT */ SELECT 1", False), ("", False),
-    ("REPLACE INTO a", False)])
+@pytest.mark.parametrize(
+    "statement, reads",
+    [
+        ("SELECT 1", True),
+        ("  (select 1)", True),
+        ("SHOW TABLES", True),
+        ("WITH a AS (SELECT 1) SELECT * FROM a", True),
+        ("WITH a AS (SELECT 1) DELETE FROM b", False),
+        ("SELECT 1 INTO OUTFILE 'x'", False),
+        ("SELECT a FROM b FOR UPDATE", False),
+        ("SELECT 'update' FROM b", True),
+        ("INSERT INTO a VALUES (1)", False),
+        ("/* SELECT */ DELETE FROM a", False),
+        ("/*! INSERT */ SELECT 1", False),
+        ("", False),
+        ("REPLACE INTO a", False),
+    ],
+)
 def test_only_plain_reads_count_as_reads(statement: str, reads: bool) -> None:
     assert sql.outline(statement).only_reads is reads
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -60,8 +60,11 @@
     gateways = fleet()
     count = run(gateways, gateways[0].now + 4 * SECOND)
     assert 0 < count <= (4 * SECOND // decide.TELL + 1) * 2 * len(gateways)
-    assert all(len(message.body) <= 256 for gateway in gateways
-               for message in tells([action for _, action in gateway.actions]))
+    assert all(
+        len(message.body) <= 256
+        for gateway in gateways
+        for message in tells([action for _, action in gateway.actions])
+    )
 
 
 def test_lost_messages_leave_the_gateways_to_what_they_see_themselves() -> None:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -18,16 +18,30 @@
 
 def configure(folder: Path, **changes: object) -> Path:
     config = folder / "config.json"
-    config.write_text(json.dumps({
-        "name": "n0", "listen": f"{HOST}:0", "journal": f"{HOST}:1", "settings": SETTINGS,
-        "known": {"pos": 1, "entries": [event(1, host("s-0", 1), whole=True)]}, **changes}))
+    config.write_text(
+        json.dumps(
+            {
+                "name": "n0",
+                "listen": f"{HOST}:0",
+                "journal": f"{HOST}:1",
+                "settings": SETTINGS,
+                "known": {"pos": 1, "entries": [event(1, host("s-0", 1), whole=True)]},
+                **changes,
+            }
+        )
+    )
     return config
 
 
 def start(folder: Path, **changes: object) -> subprocess.Popen[str]:
     config = configure(folder, **changes)
-    return subprocess.Popen([sys.executable, "-m", "slipbay"], cwd=ROOT, text=True, stderr=subprocess.PIPE,
-                            env={**os.environ, "GW_CONFIG": str(config)})
+    return subprocess.Popen(
+        [sys.executable, "-m", "slipbay"],
+        cwd=ROOT,
+        text=True,
+        stderr=subprocess.PIPE,
+        env={**os.environ, "GW_CONFIG": str(config)},
+    )
 
 
 def test_it_serves_until_sigterm_and_exits_with_0(tmp_path: Path) -> None:
@@ -74,8 +88,13 @@
     text = configure(tmp_path).read_text()
     (tmp_path / "config.json").unlink()
     os.mkfifo(tmp_path / "config.json")
-    process = subprocess.Popen([sys.executable, "-m", "slipbay"], cwd=ROOT, text=True, stderr=subprocess.PIPE,
-                               env={**os.environ, "GW_CONFIG": str(tmp_path / "config.json")})
+    process = subprocess.Popen(
+        [sys.executable, "-m", "slipbay"],
+        cwd=ROOT,
+        text=True,
+        stderr=subprocess.PIPE,
+        env={**os.environ, "GW_CONFIG": str(tmp_path / "config.json")},
+    )
     assert process.stderr is not None
     with open(tmp_path / "config.json", "w") as first:  # opens when the router begins to read
         process.send_signal(signal.SIGHUP)
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -22,9 +22,17 @@
 
 
 def test_module_uses_only_the_standard_library_and_no_clock() -> None:
-    roots = {name.split(".")[0] for node in ast.walk(ast.parse(MODULE))
-             for name in ([alias.name for alias in node.names] if isinstance(node, ast.Import)
-                          else [node.module or ""] if isinstance(node, ast.ImportFrom) else [])}
+    roots = {
+        name.split(".")[0]
+        for node in ast.walk(ast.parse(MODULE))
+        for name in (
+            [alias.name for alias in node.names]
+            if isinstance(node, ast.Import)
+            else [node.module or ""]
+            if isinstance(node, ast.ImportFrom)
+            else []
+        )
+    }
     assert roots <= set(sys.stdlib_module_names) | {"martenkeel"}
     assert not roots & {"time", "datetime", "os", "io", "socket", "threading"}
 
@@ -35,16 +43,19 @@
             if isinstance(node, ast.Assign):
                 assert ast.unparse(node) in (
                     "WAITS_FOR_LOAD = 2.0",
-                    "HEAD, ITEM, MOST_BYTES = (Struct('<IB'), Struct('<HB'), 256)")  # form of peer messages
+                    "HEAD, ITEM, MOST_BYTES = (Struct('<IB'), Struct('<HB'), 256)",
+                )  # form of peer messages
     assert Settings.__slots__
 
 
 def test_readme_example_runs_as_printed() -> None:
-    example = re.search(r"```python\n(.*?)```\n\nIt prints:\n\n```text\n(.*?)```",
-                        (ROOT / "README.md").read_text(), re.S)
+    example = re.search(
+        r"```python\n(.*?)```\n\nIt prints:\n\n```text\n(.*?)```", (ROOT / "README.md").read_text(), re.S
+    )
     assert example
-    ran = subprocess.run([sys.executable, "-c", example[1]], cwd=ROOT, capture_output=True, text=True,
-                         timeout=60, check=True)
+    ran = subprocess.run(
+        [sys.executable, "-c", example[1]], cwd=ROOT, capture_output=True, text=True, timeout=60, check=True
+    )
     assert ran.stdout == example[2]
 
 
@@ -53,9 +64,12 @@
     needs = {}
     for file in [*(ROOT / "slipbay").rglob("*.py"), *(ROOT / "martenkeel").rglob("*.py")]:
         name = ".".join(file.relative_to(ROOT).with_suffix("").parts)
-        needs[name] = {found for node in ast.walk(ast.parse(file.read_text()))
-                       if isinstance(node, ast.ImportFrom) and node.module
-                       for found in [node.module, *(f"{node.module}.{alias.name}" for alias in node.names)]}
+        needs[name] = {
+            found
+            for node in ast.walk(ast.parse(file.read_text()))
+            if isinstance(node, ast.ImportFrom) and node.module
+            for found in [node.module, *(f"{node.module}.{alias.name}" for alias in node.names)]
+        }
     left = set(needs)
     while steps := {name for name in left if not (needs[name] & left) - {name}}:
         left -= steps
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -34,17 +34,27 @@
 
 SECOND = 1_000_000
 TENANTS, CLASSES = ("a", "b"), ("lookup", "report")
-PLATFORM = cast(Config, SimpleNamespace(tenants=TENANTS, classes=CLASSES, peers=(("127.0.0.1", 1),) * 3,
-                                        settings=SimpleNamespace(gateway=0)))
+PLATFORM = cast(
+    Config,
+    SimpleNamespace(
+        tenants=TENANTS, classes=CLASSES, peers=(("127.0.0.1", 1),) * 3, settings=SimpleNamespace(gateway=0)
+    ),
+)
 AMOUNT = st.integers(0, 65_535)
 FLOAT = st.floats(0, 60_000, width=16)
 
 
-@given(st.sampled_from(codec.LOANS), st.integers(0, 65_535), st.integers(0, 255), st.integers(0, 2**32 - 1),
-       st.integers(0, 65_535), st.lists(st.builds(Entry, AMOUNT, AMOUNT, AMOUNT, FLOAT, FLOAT),
-                                        max_size=codec.MOST_ENTRIES))
-def test_messages_come_back_and_fit(sort: Sort, version: int, layout: int, tag: int, term_ms: int,
-                                    entries: list[Entry]) -> None:
+@given(
+    st.sampled_from(codec.LOANS),
+    st.integers(0, 65_535),
+    st.integers(0, 255),
+    st.integers(0, 2**32 - 1),
+    st.integers(0, 65_535),
+    st.lists(st.builds(Entry, AMOUNT, AMOUNT, AMOUNT, FLOAT, FLOAT), max_size=codec.MOST_ENTRIES),
+)
+def test_messages_come_back_and_fit(
+    sort: Sort, version: int, layout: int, tag: int, term_ms: int, entries: list[Entry]
+) -> None:
     message = Message(sort, version, layout, tag, term_ms, entries)
     body = codec.encode(message)
     assert len(body) <= MOST_BODY and codec.decode(body) == message
@@ -113,8 +123,10 @@
     while one.wait(now, None) == 0:
         one.take(None)
     waits = [one.wait(now, None) for _ in range(10)]
-    assert all(later - first == pytest.approx(100_000, rel=0.05)
-               for first, later in zip(waits, waits[1:], strict=False))
+    assert all(
+        later - first == pytest.approx(100_000, rel=0.05)
+        for first, later in zip(waits, waits[1:], strict=False)
+    )
     tokens = one.bucket.tokens
     one.wait(now, None)
     assert one.bucket.tokens == tokens  # a refusal costs none
@@ -124,14 +136,21 @@
 
 
 def test_the_gate_takes_a_token_of_every_quota_or_of_none() -> None:
-    plan = Plan(1, [Quota("all", 100, 10, tenants=["a"]), Quota("reports", 1, 2, ["a"], ["report"]),
-                    Quota("two", 100, 10, ["b"], open=3)])
+    plan = Plan(
+        1,
+        [
+            Quota("all", 100, 10, tenants=["a"]),
+            Quota("reports", 1, 2, ["a"], ["report"]),
+            Quota("two", 100, 10, ["b"], open=3),
+        ],
+    )
     machine, clock = Machine(0, 1, plan, Random(1), 0), [0]
     gate = QuotaGate(machine, TENANTS, CLASSES, lambda: clock[0], 500_000)
 
     def ask(id: int, tenant: int, class_: int) -> int | None:
-        return gate.admit(cast(Request, SimpleNamespace(id=id, tenant=tenant, service_class=class_,
-                                                        tokens=1)))
+        return gate.admit(
+            cast(Request, SimpleNamespace(id=id, tenant=tenant, service_class=class_, tokens=1))
+        )
 
     assert ask(1, 0, 0) is not None  # a start gives no burst
     clock[0] = 60 * SECOND
@@ -165,18 +184,27 @@
 FILE = 'enabled = true\nversion = 1\n{}\n[[quotas]]\nname = "q"\nrate = 10\nburst = 5\n{}'
 
 
-@pytest.mark.parametrize(("top", "quota", "told"), [
-    ("reserve = 2", "", "quota.toml: reserve: want 0.01 to 1, as a part of each quota; got 2"),
-    ("term_ms = 3000", "", "quota.toml: longest_ms: want term_ms (3000) to 30000"),
-    ("", "rats = 1", "quota.toml: quotas[0].rats: "),
-    ("", "rate = -1", "quota.toml: Cannot overwrite a value"),
-    ("", 'tenants = ["c"]', "quota.toml: quotas[0].tenants: 'c' is none of a, b"),
-    ("", "parts = { lookup = 0.7, report = 0.6 }", "quota.toml: quotas[0].parts: want at most 1 together"),
-    ("", "parts = { lookup = 0.7, a = 0.1 }", "quota.toml: quotas[0].parts: want names of classes or of"),
-    ("", "soft = 0.5", "quota.toml: quotas[0].soft: want 1 to 100; got 0.5"),
-    ("", '[[quotas]]\nname = "q"\nrate = 1\nburst = 1', "quota.toml: quotas[1].name: 'q' cannot be told")])
-def test_a_bad_plan_is_refused_with_file_key_and_reason(tmp_path: Path, top: str, quota: str,
-                                                        told: str) -> None:
+@pytest.mark.parametrize(
+    ("top", "quota", "told"),
+    [
+        ("reserve = 2", "", "quota.toml: reserve: want 0.01 to 1, as a part of each quota; got 2"),
+        ("term_ms = 3000", "", "quota.toml: longest_ms: want term_ms (3000) to 30000"),
+        ("", "rats = 1", "quota.toml: quotas[0].rats: "),
+        ("", "rate = -1", "quota.toml: Cannot overwrite a value"),
+        ("", 'tenants = ["c"]', "quota.toml: quotas[0].tenants: 'c' is none of a, b"),
+        (
+            "",
+            "parts = { lookup = 0.7, report = 0.6 }",
+            "quota.toml: quotas[0].parts: want at most 1 together",
+        ),
+        ("", "parts = { lookup = 0.7, a = 0.1 }", "quota.toml: quotas[0].parts: want names of classes or of"),
+        ("", "soft = 0.5", "quota.toml: quotas[0].soft: want 1 to 100; got 0.5"),
+        ("", '[[quotas]]\nname = "q"\nrate = 1\nburst = 1', "quota.toml: quotas[1].name: 'q' cannot be told"),
+    ],
+)
+def test_a_bad_plan_is_refused_with_file_key_and_reason(
+    tmp_path: Path, top: str, quota: str, told: str
+) -> None:
     path = tmp_path / "quota.toml"
     path.write_text(FILE.format(top, quota))
     with pytest.raises(ConfigError) as problem:
@@ -196,8 +224,10 @@
         path.write_text(FILE.format(top, ""))
         with pytest.raises(ConfigError, match=told):
             load_quota(PLATFORM, environment, plan)
-    for top, told in (("reserve = 0.3", "reserve: want 0.1 as long"),
-                      ("term_ms = 300\nlongest_ms = 300", "longest_ms: want at least 2000")):
+    for top, told in (
+        ("reserve = 0.3", "reserve: want 0.1 as long"),
+        ("term_ms = 300\nlongest_ms = 300", "longest_ms: want at least 2000"),
+    ):
         path.write_text(FILE.format(top, "").replace("version = 1", "version = 2"))
         with pytest.raises(ConfigError, match=told):
             load_quota(PLATFORM, environment, plan)
@@ -215,9 +245,23 @@
     told = explain(Plan(1, [Quota("fuel", 200, 100), Quota("air", 10, 5, soft=2.0)]), 40)
     assert "fuel: hard; in any t seconds at most 100 + 200 x t + 1.00 requests" in told
     assert "air: soft, at most 2 times; in any t seconds at most 10 + 20 x t + " in told
-    text = exposition({"name": "n0", "version": 3, "counts": {"late or double": 2}, "quotas": {"fuel": {
-        "asked": 7.5, "share": 0.25, "home": 0.1, "tokens": 3.0, "open": 1,
-        "counts": {"admitted": 5, "refused: rate": 4}}}})
+    text = exposition(
+        {
+            "name": "n0",
+            "version": 3,
+            "counts": {"late or double": 2},
+            "quotas": {
+                "fuel": {
+                    "asked": 7.5,
+                    "share": 0.25,
+                    "home": 0.1,
+                    "tokens": 3.0,
+                    "open": 1,
+                    "counts": {"admitted": 5, "refused: rate": 4},
+                }
+            },
+        }
+    )
     assert 'slipbay_quota_share{quota="fuel",router="n0"} 0.25' in text
     assert 'slipbay_quota_requests_total{quota="fuel",router="n0",what="refused_rate"} 4.0' in text
 
@@ -239,8 +283,9 @@
         tenure.follow(1, 1, SECOND, {0, 1, 2})
 
     def carry(source: int, sends: list[Send]) -> list[tuple[int, list[Send]]]:
-        return [(to, tenures[to].receive(SECOND, source, 7, cast(Word, codec.decode(body))))
-                for to, body in sends]
+        return [
+            (to, tenures[to].receive(SECOND, source, 7, cast(Word, codec.decode(body)))) for to, body in sends
+        ]
 
     for me, wants in ((2, [2]), (0, [0, 2])):
         tenures[me].wants = dict.fromkeys(wants, SECOND)
@@ -251,6 +296,7 @@
 
 # The bound, in simulated time
 
+
 @settings(max_examples=25, deadline=None)
 @given(st.integers(0, 10**6))
 def test_three_routers_pass_the_bound_in_no_history(seed: int) -> None:
@@ -258,9 +304,17 @@
     assert worst <= bound + 1e-6
 
 
-@pytest.mark.parametrize(("size", "seed", "more"), [
-    (8, 1, {}), (8, 2, {"exact": True}), (8, 3, {"soft": 2.0}), (40, 4, {}), (40, 5, {"burst": 20.0}),
-    (8, 6, {"news": 700})])
+@pytest.mark.parametrize(
+    ("size", "seed", "more"),
+    [
+        (8, 1, {}),
+        (8, 2, {"exact": True}),
+        (8, 3, {"soft": 2.0}),
+        (40, 4, {}),
+        (40, 5, {"burst": 20.0}),
+        (8, 6, {"news": 700}),
+    ],
+)
 def test_larger_fleets_pass_the_bound_in_no_history(size: int, seed: int, more: dict[str, Any]) -> None:
     fleet, worst, bound = history(size, seed, 20, news=more.pop("news", 0), plan=plan_of(**more))
     assert worst <= bound + 1e-6 and len(fleet.asked["q"].admitted()) > 100
@@ -292,8 +346,10 @@
 
 def test_faults_put_in_are_found_by_histories(monkeypatch: pytest.MonkeyPatch) -> None:
     def passes(seeds: int = 12) -> bool:
-        return any(worst > bound for _, worst, bound in (
-            history(4, seed, 25, plan_of(burst=10.0)) for seed in range(seeds)))
+        return any(
+            worst > bound
+            for _, worst, bound in (history(4, seed, 25, plan_of(burst=10.0)) for seed in range(seeds))
+        )
 
     most = 10 + excess(plan_of(burst=10.0), Quota("q", RATE, 10.0), 2)
     assert max(lender_is(restarted=True), lender_is(restarted=False)) <= most
@@ -323,15 +379,18 @@
         assert lender_is(restarted=True) > most
     with monkeypatch.context() as patch:  # the version of the plan is taken, and the plan ignored
         take = Account.take_plan
-        patch.setattr(Account, "take_plan",
-                      lambda self, plan, quota: None if hasattr(self, "quota") else take(self, plan, quota))
+        patch.setattr(
+            Account,
+            "take_plan",
+            lambda self, plan, quota: None if hasattr(self, "quota") else take(self, plan, quota),
+        )
         assert any(after > bound for _, _, after, bound in (changing(6, seed) for seed in range(4)))
 
 
 # How well it is used
 
-def steady(load: float, size: int = 8, seed: int = 1, wardens: int = 5,
-           news: int = 0) -> QuotaFleet:
+
+def steady(load: float, size: int = 8, seed: int = 1, wardens: int = 5, news: int = 0) -> QuotaFleet:
     plan = msgspec.structs.replace(plan_of(term_ms=2_000), wardens=wardens)
     fleet = QuotaFleet(size, plan, {"q": zipf(size, RATE * load)}, seed, news=news)
     fleet.run(8)
@@ -346,8 +405,11 @@
 
 def home_is_ours(fleet: QuotaFleet, me: int) -> bool:
     machine = fleet.machine(me)
-    return machine is not None and machine.tenure is not None and list(
-        machine.tenure.held(fleet.routers.clock(me))) == [me]
+    return (
+        machine is not None
+        and machine.tenure is not None
+        and list(machine.tenure.held(fleet.routers.clock(me))) == [me]
+    )
 
 
 @pytest.mark.parametrize(("size", "use"), [(12, 0.97), (40, 0.96)])
@@ -363,7 +425,7 @@
     assert used(fleet, 10, rate=rate) >= use
     apart, chance = fleet.asked["q"].apart(since, fleet.now)
     assert 0 < apart <= chance + (0.1 if size == 12 else 0.25)
-    fleet.demands["q"] = demand[size // 2:] + demand[:size // 2]
+    fleet.demands["q"] = demand[size // 2 :] + demand[: size // 2]
     fleet.run(1)
     assert used(fleet, 2, rate=rate) >= 0.92
     assert max(fleet.routers.network.bytes_from.values()) <= plan.bytes_per_s * 25 + 1_000
@@ -378,8 +440,11 @@
         fleet.end([me], 700_000)
         part += 0.7 / 16 * used(fleet, 0.7)
         machine = fleet.machine(me)
-        assert machine is not None and not any(one.shares.out(fleet.routers.clock(me)) for one in
-                                               machine.accounts.values()) or not wardens
+        assert (
+            machine is not None
+            and not any(one.shares.out(fleet.routers.clock(me)) for one in machine.accounts.values())
+            or not wardens
+        )
         fleet.routers.kill([me])
         part += 0.2 / 16 * used(fleet, 0.2)
         fleet.routers.start([me])
@@ -451,8 +516,9 @@
 def test_two_hundred_tenants_keep_to_the_budget() -> None:
     names = [f"t{n}" for n in range(200)]
     plan = Plan(1, [Quota(name, 20, 40) for name in names])
-    demands: dict[str, Sequence[float]] = {name: [6.0 if (n + 3 * me) % 7 == 0 else 0.0 for me in range(12)]
-                                          for n, name in enumerate(names)}
+    demands: dict[str, Sequence[float]] = {
+        name: [6.0 if (n + 3 * me) % 7 == 0 else 0.0 for me in range(12)] for n, name in enumerate(names)
+    }
     fleet = QuotaFleet(12, plan, demands, 1)
     fleet.run(5)
     assert max(fleet.routers.network.bytes_from.values()) <= 5 * plan.bytes_per_s + 1_000
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -39,8 +39,16 @@
 
 
 def played(*actions: dict[str, Any], seconds: float = 6, **more: Any) -> Verdict:
-    table = {"routers": 8, "zones": 2, "seconds": seconds, "fleet": VIEW, "settle_s": 15,
-             "load": {"lookups": 50, "reports": 3, "loads": 2}, "do": list(actions), **more}
+    table = {
+        "routers": 8,
+        "zones": 2,
+        "seconds": seconds,
+        "fleet": VIEW,
+        "settle_s": 15,
+        "load": {"lookups": 50, "reports": 3, "loads": 2},
+        "do": list(actions),
+        **more,
+    }
     verdict = play(from_table(table))
     assert verdict.good, (verdict.faults, verdict.timeline, verdict.starved)
     assert verdict.outcomes["lookup served"] > 20, verdict.outcomes
@@ -56,8 +64,12 @@
 
 
 def test_a_one_way_cut_and_loss_of_three_in_ten_messages() -> None:
-    played(do(0.5, "cut", **{"from": [0], "to": [1], "one_way": True}), do(1, "loss", part=0.3),
-           do(5, "loss", part=0.0), do(5, "heal"))
+    played(
+        do(0.5, "cut", **{"from": [0], "to": [1], "one_way": True}),
+        do(1, "loss", part=0.3),
+        do(5, "loss", part=0.0),
+        do(5, "heal"),
+    )
 
 
 def test_connections_to_engines_break_under_calls_and_what_ran_is_asked_for_anew() -> None:
@@ -72,28 +84,44 @@
 
 def test_all_are_restarted_in_turn_under_load_and_an_engine_drains() -> None:
     pairs = [(0.5 + 1.4 * n, [2 * n, 2 * n + 1]) for n in range(4)]
-    actions = [step for at, pair in pairs for step in (
-        do(at, "term", routers=pair), do(at + 0.1, "start", routers=pair))]
+    actions = [
+        step
+        for at, pair in pairs
+        for step in (do(at, "term", routers=pair), do(at + 0.1, "start", routers=pair))
+    ]
     played(*actions, do(2, "drain", engines=[0]), seconds=7)
 
 
 def test_half_of_the_fleet_runs_a_release_before_the_view_and_counts_as_alive() -> None:
     """That their shares stay is judged in test_fleet.py: here one that stood still while it was idle would
     be held gone, as it says nothing."""
-    played(do(1, "kill", routers=[1]), do(3, "start", routers=[1]), without_view=[0, 2, 4, 6], seconds=4,
-           settle_s=0)
+    played(
+        do(1, "kill", routers=[1]),
+        do(3, "start", routers=[1]),
+        without_view=[0, 2, 4, 6],
+        seconds=4,
+        settle_s=0,
+    )
 
 
 def test_a_replayer_and_a_stranger_on_the_network_change_nothing() -> None:
     keyed = 'enabled = true\nkey_file = "key"'
     for text in (VIEW, keyed):
-        played(do(1, "replay"), do(1.5, "kill", routers=[2]), do(2, "replay"), do(3, "start", routers=[2]),
-               do(3.5, "replay"), seconds=4, fleet=text)
+        played(
+            do(1, "replay"),
+            do(1.5, "kill", routers=[2]),
+            do(2, "replay"),
+            do(3, "start", routers=[2]),
+            do(3.5, "replay"),
+            seconds=4,
+            fleet=text,
+        )
 
 
 def test_without_the_view_the_same_faults_keep_all_rules() -> None:
-    played(do(1, "kill", routers=[0, 1, 2]), do(3, "start", routers=[0, 1, 2]), fleet="", settle_s=0,
-           seconds=5)
+    played(
+        do(1, "kill", routers=[0, 1, 2]), do(3, "start", routers=[0, 1, 2]), fleet="", settle_s=0, seconds=5
+    )
 
 
 def test_plays_side_by_side_have_nets_of_their_own() -> None:
@@ -110,7 +138,8 @@
     assert start["in_time"] is not None and start["full_service_s"] is None
     assert back["first_ready_s"] > 0.3 and back["list_calls"] > 0 and back["in_time"] is not None
     assert verdict.outcomes["lookup served"] == sum(
-        row["served"] for row in verdict.seconds if row["class"] == "lookup")
+        row["served"] for row in verdict.seconds if row["class"] == "lookup"
+    )
     assert json.loads(json.dumps(verdict.as_json()))["good"]
 
 
@@ -118,23 +147,39 @@
 
 
 def test_loads_come_back_under_their_keys_over_deaths_and_none_runs_twice() -> None:
-    verdict = played(do(1.5, "kill", routers=[0, 1]), do(2, "start", routers=[0, 1]),
-                     do(4, "restart", routers=[0, 1, 2], after_s=0.1), seconds=6, routers=3, store=STORE,
-                     load={"lookups": 40, "reports": 0, "loads": 12, "report_ms": 1500})
+    verdict = played(
+        do(1.5, "kill", routers=[0, 1]),
+        do(2, "start", routers=[0, 1]),
+        do(4, "restart", routers=[0, 1, 2], after_s=0.1),
+        seconds=6,
+        routers=3,
+        store=STORE,
+        load={"lookups": 40, "reports": 0, "loads": 12, "report_ms": 1500},
+    )
     repeats = [answer for answer in verdict.answers if answer.repeat]
     assert repeats and len({answer.txn for answer in repeats}) > 1
     assert {answer.service_class for answer in repeats} == {"ticket-load"}
 
 
 def test_a_store_is_lost_or_put_back_while_its_router_is_down() -> None:
-    verdict = played(do(1, "copy_store", routers=[0]), do(2, "kill", routers=[0, 1]),
-                     do(2.1, "old_store", routers=[0]), do(2.2, "lose_store", routers=[1]),
-                     do(2.3, "start", routers=[0, 1]), seconds=4, routers=3, store=STORE,
-                     load={"lookups": 40, "reports": 0, "loads": 2, "tries": 1})
+    verdict = played(
+        do(1, "copy_store", routers=[0]),
+        do(2, "kill", routers=[0, 1]),
+        do(2.1, "old_store", routers=[0]),
+        do(2.2, "lose_store", routers=[1]),
+        do(2.3, "start", routers=[0, 1]),
+        seconds=4,
+        routers=3,
+        store=STORE,
+        load={"lookups": 40, "reports": 0, "loads": 2, "tries": 1},
+    )
     assert [row["what"] for row in verdict.stretches][3:5] == [
-        "old_store routers 0 name copy", "lose_store routers 1"]
-    faulty = play(from_table({"routers": 1, "seconds": 0.5, "store": STORE,
-                              "do": [do(0.1, "lose_store", routers=[0])]}))
+        "old_store routers 0 name copy",
+        "lose_store routers 1",
+    ]
+    faulty = play(
+        from_table({"routers": 1, "seconds": 0.5, "store": STORE, "do": [do(0.1, "lose_store", routers=[0])]})
+    )
     assert [fault.split(":")[0] for fault in faulty.faults] == ["script"]
 
 
@@ -164,18 +209,31 @@
 
 
 def test_wires_to_engines_are_cut_slow_and_stalled_one_way_and_by_zone() -> None:
-    verdict = played(do(0.5, "cut_wire", router_zones=[0], engine_zones=[1]), do(1.5, "heal_wire"),
-                     do(2, "stall_wire", routers=[0], engines=[0, 1], way="back"), do(4, "heal_wire"),
-                     do(4.2, "delay_wire", ms=20), do(5, "stall_wire", routers=[1], engines=[2]),
-                     do(6.5, "heal_wire"), seconds=7, routers=4)
+    verdict = played(
+        do(0.5, "cut_wire", router_zones=[0], engine_zones=[1]),
+        do(1.5, "heal_wire"),
+        do(2, "stall_wire", routers=[0], engines=[0, 1], way="back"),
+        do(4, "heal_wire"),
+        do(4.2, "delay_wire", ms=20),
+        do(5, "stall_wire", routers=[1], engines=[2]),
+        do(6.5, "heal_wire"),
+        seconds=7,
+        routers=4,
+    )
     cut = verdict.stretches[1]
     assert cut["what"] == "cut_wire wire engines router_zones 0 engine_zones 1"
 
 
 def test_the_journals_wire_is_stalled_while_an_engine_drains_and_later_cut() -> None:
-    verdict = played(do(0.5, "stall_wire", wire="journal"), do(1, "drain", engines=[0]),
-                     do(4, "heal_wire", wire="journal"), do(5, "cut_wire", wire="journal", routers=[0]),
-                     do(6, "heal_wire", wire="journal"), seconds=7, routers=3)
+    verdict = played(
+        do(0.5, "stall_wire", wire="journal"),
+        do(1, "drain", engines=[0]),
+        do(4, "heal_wire", wire="journal"),
+        do(5, "cut_wire", wire="journal", routers=[0]),
+        do(6, "heal_wire", wire="journal"),
+        seconds=7,
+        routers=3,
+    )
     assert sum(row["list_calls"] for row in verdict.stretches[1:]) > 0
 
 
@@ -227,31 +285,55 @@
 
 
 def test_two_lives_of_one_number_at_once() -> None:
-    verdict = played(do(0.5, "stop", routers=[1]), do(1, "twin", routers=[1]), do(4, "go_on", routers=[1]),
-                     do(6, "kill", routers=[1], lives="old"), seconds=7, routers=3)
+    verdict = played(
+        do(0.5, "stop", routers=[1]),
+        do(1, "twin", routers=[1]),
+        do(4, "go_on", routers=[1]),
+        do(6, "kill", routers=[1], lives="old"),
+        seconds=7,
+        routers=3,
+    )
     assert {answer.life for answer in verdict.answers if answer.router == 1} == {0, 1}
 
 
 def test_a_router_whose_wall_clock_is_off_is_one_of_the_fleet() -> None:
-    played(do(0.5, "clock", routers=[0], ms=200), do(0.6, "clock", routers=[1], ms=-200),
-           do(1, "restart", routers=[0, 1]), seconds=5, routers=3)
+    played(
+        do(0.5, "clock", routers=[0], ms=200),
+        do(0.6, "clock", routers=[1], ms=-200),
+        do(1, "restart", routers=[0, 1]),
+        seconds=5,
+        routers=3,
+    )
 
 
 def test_an_engine_is_replaced_and_cold_and_operator_files_are_read_again() -> None:
-    verdict = played(do(0.5, "renew", engines=[0]), do(1, "reload", routers=[0], file="fleet", text="no"),
-                     do(1.5, "reload", routers=[0, 1], file="fleet", text=VIEW), seconds=4, routers=3,
-                     engines=2)
+    verdict = played(
+        do(0.5, "renew", engines=[0]),
+        do(1, "reload", routers=[0], file="fleet", text="no"),
+        do(1.5, "reload", routers=[0, 1], file="fleet", text=VIEW),
+        seconds=4,
+        routers=3,
+        engines=2,
+    )
     begun = {engine for _, engine, _ in verdict.book.begun}
     assert begun == {"s-0", "s-1"} and [row["what"].split()[0] for row in verdict.stretches] == [
-        "start", "renew", "reload", "reload"]
+        "start",
+        "renew",
+        "reload",
+        "reload",
+    ]
 
 
 def test_a_shifted_wall_clock_leaves_the_monotonic_one_alone(tmp_path: Path) -> None:
     script = tmp_path / "told.py"
     script.write_text("import time; print(time.time(), time.time_ns() / 1e9, time.monotonic())")
     before = time.time(), time.monotonic()
-    out = subprocess.run([sys.executable, "-m", "slipbay.rig.skewed", "-9000000", str(script)], check=True,
-                         capture_output=True, text=True).stdout
+    out = subprocess.run(
+        [sys.executable, "-m", "slipbay.rig.skewed", "-9000000", str(script)],
+        check=True,
+        capture_output=True,
+        text=True,
+    ).stdout
     wall, wall_ns, monotonic = map(float, out.split())
     assert -9000 <= wall - before[0] < -6000 and -9000 <= wall_ns - before[0] < -6000
     assert monotonic >= before[1]
@@ -329,13 +411,21 @@
             verdict.book.begin(engine, request, "ticket-load" if request in "br" else "lookup", 0.0)
             verdict.book.end(engine, request)
     verdict.book.runs["x"] += 20
-    verdict.answers += [told("r", "ticket-load", "refused"), told("n", "ticket-load", "served"),
-                        told("b", "ticket-load", "served"), told("b", "ticket-load", "failed"),
-                        told("v", "ticket-load", "refused"), told("v", "ticket-load", "served")]
+    verdict.answers += [
+        told("r", "ticket-load", "refused"),
+        told("n", "ticket-load", "served"),
+        told("b", "ticket-load", "served"),
+        told("b", "ticket-load", "failed"),
+        told("v", "ticket-load", "refused"),
+        told("v", "ticket-load", "served"),
+    ]
     judge(verdict, 1)
     assert [fault.split(":")[0] for fault in verdict.faults] == [
-        "ration", "refused though it ran", "served though it never ran",
-        "served, then failed under the same key"]
+        "ration",
+        "refused though it ran",
+        "served though it never ran",
+        "served, then failed under the same key",
+    ]
     clean = Verdict(answers=[told("c", "ticket-load", "refused")])
     judge(clean, 1)
     assert clean.good
@@ -351,21 +441,34 @@
     judge(verdict, 1, [few, many, Bound("q", ("b",), (), 1.0, 0.0), Bound("q", (), (), 5.0, 2.0, 2.001)])
     assert [fault.split(" by ")[0] for fault in verdict.faults] == ["quota: q passed 5 x t"]
     assert [row["worst"] for row in verdict.quotas] == [pytest.approx(21, abs=0.2)] * 2 + [
-        0.0, pytest.approx(1, abs=0.2)]
+        0.0,
+        pytest.approx(1, abs=0.2),
+    ]
 
 
 def test_bounds_are_of_the_larger_plan_while_they_mix_and_then_of_the_last() -> None:
     def plan(version: int, rate: float, more: str = "") -> str:
-        return (f'enabled = true\nversion = {version}\n{more}[[quotas]]\nname = "q"\n'
-                f"rate = {rate}\nburst = {rate + 20}")
+        return (
+            f'enabled = true\nversion = {version}\n{more}[[quotas]]\nname = "q"\n'
+            f"rate = {rate}\nburst = {rate + 20}"
+        )
 
     def told(*reloads: tuple[float, list[int], str]) -> list[tuple[float, float, float]]:
         """Rate, burst and beginning of each bound."""
-        script = from_table({"routers": 3, "quota": plan(1, 40), "do": [
-            do(at, "reload", routers=numbers, file="quota", text=text) for at, numbers, text in reloads]})
+        script = from_table(
+            {
+                "routers": 3,
+                "quota": plan(1, 40),
+                "do": [
+                    do(at, "reload", routers=numbers, file="quota", text=text)
+                    for at, numbers, text in reloads
+                ],
+            }
+        )
         spare = {rate: excess(Plan(1, []), Quota("q", rate, rate + 20), 3) for rate in (10, 40, 50)}
-        return [(bound.rate, round(bound.most - spare[int(bound.rate)]), bound.since)
-                for bound in bounds(script)]
+        return [
+            (bound.rate, round(bound.most - spare[int(bound.rate)]), bound.since) for bound in bounds(script)
+        ]
 
     assert told() == [(40.0, 60, 0.0)]
     refused = (1, [0, 1, 2], plan(1, 90)), (1, [0, 1, 2], plan(2, 90, "reserve = 0.5\n"))
@@ -395,6 +498,7 @@
 
 def test_a_life_that_was_killed_before_the_rig_read_that_it_listens_is_not_up() -> None:
     """Guards against "takes no connection" of a router that a script kills within a moment of listening."""
+
     async def read(*signals: signal.Signals) -> bool:
         seen: list[bool] = []
         router = RouterProcess(0, lambda seat: {}, Path(), {}, lambda life: seen.append(life.ready))
@@ -446,14 +550,22 @@
     assert len(book.faults) == 3 and len(held.faults) == 2
 
 
-@pytest.mark.parametrize(("table", "wanted"), [
-    ({"routers": 0}, "routers"), ({"router": 3}, "router"), ({"load": {"lookups": -1}}, "load.lookups"),
-    ({"do": [do(1, "explode")]}, r"do\[0\].what"),
-    ({"load": {"tenants": [{"name": "a", "routers": [9]}]}}, r"load.tenants\[0\].routers"),
-    ({"do": [do(99, "heal")]}, r"do\[0\].at"), ({"do": [do(1, "kill", routers=[7])]}, r"do\[0\].routers"),
-    ({"do": [do(1, "loss", part=2)]}, r"do\[0\].part"), ({"do": [do(1, "loss")]}, r"do\[0\].part"),
-    ({"do": [do(1, "heal", routers=[0])]}, r"do\[0\].routers"),
-    ({"do": [do(1, "restart", routers=[0], after=1)]}, r"do\[0\].after")])
+@pytest.mark.parametrize(
+    ("table", "wanted"),
+    [
+        ({"routers": 0}, "routers"),
+        ({"router": 3}, "router"),
+        ({"load": {"lookups": -1}}, "load.lookups"),
+        ({"do": [do(1, "explode")]}, r"do\[0\].what"),
+        ({"load": {"tenants": [{"name": "a", "routers": [9]}]}}, r"load.tenants\[0\].routers"),
+        ({"do": [do(99, "heal")]}, r"do\[0\].at"),
+        ({"do": [do(1, "kill", routers=[7])]}, r"do\[0\].routers"),
+        ({"do": [do(1, "loss", part=2)]}, r"do\[0\].part"),
+        ({"do": [do(1, "loss")]}, r"do\[0\].part"),
+        ({"do": [do(1, "heal", routers=[0])]}, r"do\[0\].routers"),
+        ({"do": [do(1, "restart", routers=[0], after=1)]}, r"do\[0\].after"),
+    ],
+)
 def test_a_faulty_script_is_refused_with_its_key(table: dict[str, Any], wanted: str) -> None:
     with pytest.raises(ConfigError, match=wanted):
         from_table(table)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -47,6 +47,7 @@
 
 def test_a_cut_connection_does_not_end_a_query() -> None:
     """Guards against taking a reset for the end: the query runs on, and is asked for on a new connection."""
+
     async def script(call: HttpCall, writer: asyncio.StreamWriter) -> bytes | None:
         return None if call.method == "POST" else await one_page(call, writer)
 
@@ -115,23 +116,44 @@
     run(test)
 
 
-@pytest.mark.parametrize("line, code, id", [
-    (b"{", -32700, None), (b"[1]", -32600, None), (b"7", -32600, None), (b'{"id":0}', -32600, None),
-    (b'{"id":true,"jsonrpc":"2.0","method":"alive"}', -32600, None),
-    (b'{"jsonrpc":"2.0","method":"lookup","params":{}}', -32600, None),
-    (b'{"id":7}', -32600, 7), (b'{"jsonrpc":"2.0","id":7,"method":"dance"}', -32601, 7),
-    (b'{"jsonrpc":"2.0","id":7,"method":"lookup","params":[]}', -32602, 7),
-    (b'{"jsonrpc":"2.0","id":7,"method":"lookup","params":{"txn":"x","limit":9,"data":""}}', -32602, 7),
-    (b'{"jsonrpc":"2.0","id":7,"method":"lookup","params":{"txn":"9b1f03aa5c7e2d41","data":"QQ=="}}',
-     -32602, 7),
-    (b'{"jsonrpc":"2.0","id":7,"method":"lookup","params":{"txn":"9b1f03aa5c7e2d41","limit":9,"data":"?"}}',
-     -32602, 7),
-    (b'{"jsonrpc":"2.0","id":7,"method":"lookup","params":{"txn":"9b1f03aa5c7e2d41","limit":NaN,"data":"QQ=="}}',
-     -32602, 7),
-    (b'{"jsonrpc":"2.0","id":7,"method":"lookup","params":{"txn":"9b1f03aa5c7e2d41","limit":9,"team":"no",'
-     b'"data":"QQ=="}}', -32602, 7),
-    (b"[" * 100_000, -32700, None), (b"\xff\xfe", -32700, None),
-])
+@pytest.mark.parametrize(
+    "line, code, id",
+    [
+        (b"{", -32700, None),
+        (b"[1]", -32600, None),
+        (b"7", -32600, None),
+        (b'{"id":0}', -32600, None),
+        (b'{"id":true,"jsonrpc":"2.0","method":"alive"}', -32600, None),
+        (b'{"jsonrpc":"2.0","method":"lookup","params":{}}', -32600, None),
+        (b'{"id":7}', -32600, 7),
+        (b'{"jsonrpc":"2.0","id":7,"method":"dance"}', -32601, 7),
+        (b'{"jsonrpc":"2.0","id":7,"method":"lookup","params":[]}', -32602, 7),
+        (b'{"jsonrpc":"2.0","id":7,"method":"lookup","params":{"txn":"x","limit":9,"data":""}}', -32602, 7),
+        (
+            b'{"jsonrpc":"2.0","id":7,"method":"lookup","params":{"txn":"9b1f03aa5c7e2d41","data":"QQ=="}}',
+            -32602,
+            7,
+        ),
+        (
+            b'{"jsonrpc":"2.0","id":7,"method":"lookup","params":{"txn":"9b1f03aa5c7e2d41","limit":9,"data":"?"}}',
+            -32602,
+            7,
+        ),
+        (
+            b'{"jsonrpc":"2.0","id":7,"method":"lookup","params":{"txn":"9b1f03aa5c7e2d41","limit":NaN,"data":"QQ=="}}',
+            -32602,
+            7,
+        ),
+        (
+            b'{"jsonrpc":"2.0","id":7,"method":"lookup","params":{"txn":"9b1f03aa5c7e2d41","limit":9,"team":"no",'
+            b'"data":"QQ=="}}',
+            -32602,
+            7,
+        ),
+        (b"[" * 100_000, -32700, None),
+        (b"\xff\xfe", -32700, None),
+    ],
+)
 def test_bad_input_gets_an_error_and_the_connection_goes_on(line: bytes, code: int, id: int | None) -> None:
     async def test() -> None:
         async with Loopback() as net:
@@ -163,6 +185,7 @@
 def test_the_txn_of_another_request_is_not_taken() -> None:
     """Guards against 'served' with the answer to another's statement: where the POST's own answer is lost,
     the question for its news names the query by its txn alone."""
+
     async def test() -> None:
         engine = StandInEngine()
         async with Loopback(engine) as net:
@@ -337,6 +360,7 @@
 
 def test_memory_that_clients_hold_is_bounded() -> None:
     """The one that holds most goes first, be it a slow reader or a sender of half a line."""
+
     async def test() -> None:
         async with Loopback(StandInEngine()) as net:
             net.router.server._limits = Limits(1.0, 1, 1024)  # a quarter of 1 MB for connections
@@ -362,7 +386,10 @@
             client = await net.client()
             client.query(sql="SELECT 1234567890")
             assert (await client.answer())["error"] == {
-                "code": -32002, "message": "refused for now", "data": {"later": 250}}
+                "code": -32002,
+                "message": "refused for now",
+                "data": {"later": 250},
+            }
             client.query(sql="SELECT 1")
             assert "result" in await client.answer()
 
