--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -33,32 +33,76 @@
 RESET = api.AttemptEnded(1, 0, engine(0), api.Outcome.RESET)
 
 
-@pytest.mark.parametrize(("rule", "classes", "changes", "script"), [
-    ("lost", [SAFE], {}, [ASK, 11 * SECOND]),
-    ("lost", [SAFE], {}, [ASK, api.Fail(1), api.Fail(1)]),
-    ("lost", [SAFE], {}, [ASK, api.Fail(1), api.Dispatch(1, engine(0))]),
-    ("twice", [UNSAFE], {}, [ASK, api.Dispatch(1, engine(0)), RESET, api.Dispatch(1, engine(1))]),
-    ("twice", [UNSAFE], {}, [ASK, api.Dispatch(1, engine(0)), RESET, api.Refuse(1)]),
-    ("twice", [SAFE], {}, [ASK, api.Dispatch(1, engine(0)), api.Dispatch(1, engine(1))]),
-    ("twice", [KEYED], {}, [ASK, api.Dispatch(1, engine(0)), RESET, 6 * SECOND, api.Dispatch(1, engine(1))]),
-    ("twice", [replace(KEYED, dedup_scope=api.Scope.ZONE)], {},
-     [ASK, api.Dispatch(1, engine(0)), RESET, api.Dispatch(1, engine(1))]),
-    ("drain", [SAFE], {}, [ASK, api.EngineList(api.ListKind.DELTA, (entry(0, state=DRAINING),)), SECOND,
-                           api.Dispatch(1, engine(0))]),
-    ("cold", [SAFE], {}, [replace(ASK, told_cost_us=9 * SECOND),
-                          api.EngineList(api.ListKind.DELTA, (entry(0, ready_at_us=1),)), SECOND,
-                          api.Dispatch(1, engine(0))]),
-    ("order", [ORDERED], {}, [ASK, replace(ASK, query=2), api.Dispatch(2, engine(0))]),
-    ("order", [ORDERED], {"key_rest_us": SECOND},
-     [ASK, replace(ASK, query=2), api.Dispatch(1, engine(0)), RESET, api.Fail(1),
-      api.Dispatch(2, engine(0))]),
-    ("placement", [replace(SAFE, zones=(1,))], {}, [ASK, api.Dispatch(1, engine(0))]),
-    ("placement", [replace(SAFE, kinds=(1,))], {}, [ASK, api.Dispatch(1, engine(0))]),
-    ("budget", [SAFE], {"extra_free": 0.0, "extra_window_us": SECOND},
-     [ASK, api.Dispatch(1, engine(0)), RESET, api.Dispatch(1, engine(1))]),
-])
-def test_checker_can_fail(rule: str, classes: list[api.ServiceClass], changes: dict[str, Any],
-                          script: list[Any]) -> None:
+@pytest.mark.parametrize(
+    ("rule", "classes", "changes", "script"),
+    [
+        ("lost", [SAFE], {}, [ASK, 11 * SECOND]),
+        ("lost", [SAFE], {}, [ASK, api.Fail(1), api.Fail(1)]),
+        ("lost", [SAFE], {}, [ASK, api.Fail(1), api.Dispatch(1, engine(0))]),
+        ("twice", [UNSAFE], {}, [ASK, api.Dispatch(1, engine(0)), RESET, api.Dispatch(1, engine(1))]),
+        ("twice", [UNSAFE], {}, [ASK, api.Dispatch(1, engine(0)), RESET, api.Refuse(1)]),
+        ("twice", [SAFE], {}, [ASK, api.Dispatch(1, engine(0)), api.Dispatch(1, engine(1))]),
+        (
+            "twice",
+            [KEYED],
+            {},
+            [ASK, api.Dispatch(1, engine(0)), RESET, 6 * SECOND, api.Dispatch(1, engine(1))],
+        ),
+        (
+            "twice",
+            [replace(KEYED, dedup_scope=api.Scope.ZONE)],
+            {},
+            [ASK, api.Dispatch(1, engine(0)), RESET, api.Dispatch(1, engine(1))],
+        ),
+        (
+            "drain",
+            [SAFE],
+            {},
+            [
+                ASK,
+                api.EngineList(api.ListKind.DELTA, (entry(0, state=DRAINING),)),
+                SECOND,
+                api.Dispatch(1, engine(0)),
+            ],
+        ),
+        (
+            "cold",
+            [SAFE],
+            {},
+            [
+                replace(ASK, told_cost_us=9 * SECOND),
+                api.EngineList(api.ListKind.DELTA, (entry(0, ready_at_us=1),)),
+                SECOND,
+                api.Dispatch(1, engine(0)),
+            ],
+        ),
+        ("order", [ORDERED], {}, [ASK, replace(ASK, query=2), api.Dispatch(2, engine(0))]),
+        (
+            "order",
+            [ORDERED],
+            {"key_rest_us": SECOND},
+            [
+                ASK,
+                replace(ASK, query=2),
+                api.Dispatch(1, engine(0)),
+                RESET,
+                api.Fail(1),
+                api.Dispatch(2, engine(0)),
+            ],
+        ),
+        ("placement", [replace(SAFE, zones=(1,))], {}, [ASK, api.Dispatch(1, engine(0))]),
+        ("placement", [replace(SAFE, kinds=(1,))], {}, [ASK, api.Dispatch(1, engine(0))]),
+        (
+            "budget",
+            [SAFE],
+            {"extra_free": 0.0, "extra_window_us": SECOND},
+            [ASK, api.Dispatch(1, engine(0)), RESET, api.Dispatch(1, engine(1))],
+        ),
+    ],
+)
+def test_checker_can_fail(
+    rule: str, classes: list[api.ServiceClass], changes: dict[str, Any], script: list[Any]
+) -> None:
     checker, now = watched(*classes, **changes), 0
     for step in script:
         if isinstance(step, int):
@@ -71,12 +115,26 @@
     assert [broken.split(":")[0] for broken in checker.broken] == [rule]
 
 
-CLASSES = (SAFE, UNSAFE, KEYED, replace(KEYED, dedup_scope=api.Scope.ZONE), replace(SAFE, in_order=True),
-           replace(UNSAFE, in_order=True, threads=2), replace(SAFE, zones=(1,), threads=3),
-           replace(KEYED, kinds=(0,), is_load=True, dedup_scope=api.Scope.CELL))
-STEPS = st.lists(st.tuples(st.sampled_from(["ask", "ask", "ask", "end", "end", "note", "wait", "list", "gone",
-                                            "restart", "late"]),
-                           st.integers(0, 10_000)), min_size=20, max_size=120)
+CLASSES = (
+    SAFE,
+    UNSAFE,
+    KEYED,
+    replace(KEYED, dedup_scope=api.Scope.ZONE),
+    replace(SAFE, in_order=True),
+    replace(UNSAFE, in_order=True, threads=2),
+    replace(SAFE, zones=(1,), threads=3),
+    replace(KEYED, kinds=(0,), is_load=True, dedup_scope=api.Scope.CELL),
+)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["ask", "ask", "ask", "end", "end", "note", "wait", "list", "gone", "restart", "late"]
+        ),
+        st.integers(0, 10_000),
+    ),
+    min_size=20,
+    max_size=120,
+)
 
 
 class History:
@@ -111,24 +169,51 @@
         match kind:
             case "ask":
                 self.asked += 1
-                self.tell(api.QueryArrived(self.asked, n % len(CLASSES), (1 + n % 9) * SECOND, 100_000,
-                                           group=float(n % 3), order_key=n % 3))
+                self.tell(
+                    api.QueryArrived(
+                        self.asked,
+                        n % len(CLASSES),
+                        (1 + n % 9) * SECOND,
+                        100_000,
+                        group=float(n % 3),
+                        order_key=n % 3,
+                    )
+                )
             case "end" if self.open:
                 sent = self.open.pop(n % len(self.open))
                 outcome = list(api.Outcome)[n % len(api.Outcome)]
                 done = self.checker.queries[sent.query].ended or outcome is api.Outcome.OK
-                self.tell(api.AttemptEnded(sent.query, self.number(sent), sent.engine, outcome, 1000, done,
-                                           work_us=100_000 if done else None))
+                self.tell(
+                    api.AttemptEnded(
+                        sent.query,
+                        self.number(sent),
+                        sent.engine,
+                        outcome,
+                        1000,
+                        done,
+                        work_us=100_000 if done else None,
+                    )
+                )
             case "note" if self.open:
                 sent = self.open[n % len(self.open)]
-                self.tell(api.AttemptNote(sent.query, self.number(sent), sent.engine,
-                                          list(api.NoteKind)[n % 3], (n % 100) / 100 + 0.01))
+                self.tell(
+                    api.AttemptNote(
+                        sent.query,
+                        self.number(sent),
+                        sent.engine,
+                        list(api.NoteKind)[n % 3],
+                        (n % 100) / 100 + 0.01,
+                    )
+                )
             case "gone" if self.asked in self.checker.queries:
                 self.tell(api.QueryGone(self.asked))
             case "list":
                 where = n % len(self.list)
-                self.list[where] = replace(self.list[where], state=api.EngineState(n % 3),
-                                           ready_at_us=self.now if n % 2 else self.list[where].ready_at_us)
+                self.list[where] = replace(
+                    self.list[where],
+                    state=api.EngineState(n % 3),
+                    ready_at_us=self.now if n % 2 else self.list[where].ready_at_us,
+                )
                 full = n % 5 == 0
                 shown = [e for e in self.list if e.state is not GONE] if full else [self.list[where]]
                 self.tell(api.EngineList(api.ListKind.FULL if full else api.ListKind.DELTA, tuple(shown)))
@@ -153,11 +238,22 @@
 
 @hypothesis_settings(derandomize=True, deadline=None, max_examples=120)
 @given(STEPS, st.booleans(), st.booleans(), st.integers(1, 3))
-def test_no_legal_history_breaks_a_rule(steps: list[tuple[str, int]], rationed: bool, notes: bool,
-                                        gateways: int) -> None:
-    history = History(settings(*CLASSES, key_rest_us=SECOND // 2, gateways=gateways, max_attempts=4,
-                               progress_us=SECOND if notes else 0, extra_free=1.0 if rationed else None,
-                               extra_share=0.1, extra_window_us=2 * SECOND, drain_grace_us=0))
+def test_no_legal_history_breaks_a_rule(
+    steps: list[tuple[str, int]], rationed: bool, notes: bool, gateways: int
+) -> None:
+    history = History(
+        settings(
+            *CLASSES,
+            key_rest_us=SECOND // 2,
+            gateways=gateways,
+            max_attempts=4,
+            progress_us=SECOND if notes else 0,
+            extra_free=1.0 if rationed else None,
+            extra_share=0.1,
+            extra_window_us=2 * SECOND,
+            drain_grace_us=0,
+        )
+    )
     for kind, n in steps:
         history.step(kind, n)
     history.wait(history.now + 12 * SECOND)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -68,7 +68,8 @@
 
 @pytest.mark.parametrize(("luck", "others", "sent"), [(0.999, 0, 1), (0.5, 0, 0), (0.999, 40, 0)])
 def test_gateway_not_in_turn_sends_a_cold_engine_one_query_by_lot_until_the_next_sum(
-        luck: float, others: int, sent: int) -> None:
+    luck: float, others: int, sent: int
+) -> None:
     """Guards against turns left idle by gateways that see little, and a rush by who won a lot once."""
     gateway = Gateway(replace(RULES, may_tell=True), [COLD])
     gateway.now = 3 * SECOND + 1
@@ -226,7 +227,8 @@
 
 
 def test_engines_looked_at_for_an_event_do_not_grow_with_engines_times_classes(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     classes = [SAFE] * 6
     looked = 0
     real = Controller.allowed
@@ -267,8 +269,9 @@
 
 
 def test_list_with_thousands_of_entries_unknown_kinds_and_zones() -> None:
-    entries = tuple(api.EngineEntry(n.to_bytes(6, "big"), zone=n % 250, kind=n % 999, cell=n)
-                    for n in range(5_000))
+    entries = tuple(
+        api.EngineEntry(n.to_bytes(6, "big"), zone=n % 250, kind=n % 999, cell=n) for n in range(5_000)
+    )
     gateway = Gateway(settings(), entries)
     assert len(sends(gateway.ask(1))) == 1
 
@@ -282,8 +285,11 @@
     asked = tier.account.came.total()
     with cProfile.Profile() as profile:
         tier.load(4, 0.7 * 8 / engines)
-    calls = sum(entry.callcount for entry in profile.getstats()
-                if isinstance(entry.code, CodeType) and "martenkeel" in entry.code.co_filename)
+    calls = sum(
+        entry.callcount
+        for entry in profile.getstats()
+        if isinstance(entry.code, CodeType) and "martenkeel" in entry.code.co_filename
+    )
     assert calls < most * (tier.account.came.total() - asked)
 
 
--- a/tests/test_scatter.py
+++ b/tests/test_scatter.py
@@ -71,8 +71,9 @@
 class Host:
     """A core whose decisions and engines are the test."""
 
-    def __init__(self, spec: Scattered = SPEC, most_open: int = 2, most_bytes: int = 1000,
-                 max_open: int = 100) -> None:
+    def __init__(
+        self, spec: Scattered = SPEC, most_open: int = 2, most_bytes: int = 1000, max_open: int = 100
+    ) -> None:
         self.loop, self.moment = FakeLoop(), Told()
         self.events: list[api.Event] = []
         self.actions: list[api.Action] = []
@@ -80,12 +81,20 @@
         self.answers: list[Answer] = []
         classes = tuple(api.ServiceClass(SECOND // 2, 3 * SECOND, api.Effect.SAFE) for _ in range(2))
         settings = api.Settings(classes=classes, max_attempts=4, max_retry_after_us=SECOND // 2)
-        self.core = Core(cast(Any, self.loop), cast(Any, self.loop), self.loop.timers, self, settings,
-                         max_open, 10_000)
+        self.core = Core(
+            cast(Any, self.loop), cast(Any, self.loop), self.loop.timers, self, settings, max_open, 10_000
+        )
         self.scatterer = Scatterer(
-            GatherPlan((spec,), most_open, most_bytes), ("lookup", "report"), self.core, self.loop.timers,
-            self.moment, lambda engine, now: {b"s-1": (0.5, False, 1.0), b"s-2": (1.0, False, 3.0)}.get(
-                engine, (1.0, False, 1.0)), lambda name: False)
+            GatherPlan((spec,), most_open, most_bytes),
+            ("lookup", "report"),
+            self.core,
+            self.loop.timers,
+            self.moment,
+            lambda engine, now: {b"s-1": (0.5, False, 1.0), b"s-2": (1.0, False, 3.0)}.get(
+                engine, (1.0, False, 1.0)
+            ),
+            lambda name: False,
+        )
         self.loop.advance(10 * SECOND)  # the decisions have learned
 
     def handle(self, now: int, events: Sequence[api.Event]) -> list[api.Action]:
@@ -144,8 +153,10 @@
 
 
 def served(*present: int) -> Served:
-    return Served(b"".join(b"row of %d\n" % group for group in present),
-                  Parts(GROUPS, present, tuple(group for group in GROUPS if group not in present)))
+    return Served(
+        b"".join(b"row of %d\n" % group for group in present),
+        Parts(GROUPS, present, tuple(group for group in GROUPS if group not in present)),
+    )
 
 
 def test_each_group_gets_a_part_of_its_own_and_the_rows_come_in_their_order() -> None:
@@ -153,16 +164,22 @@
     host.ask()
     told = [event for event in host.events if isinstance(event, api.QueryArrived)]
     assert [(one.service_class, one.told_cost_us, one.memory_mb, one.group) for one in told] == [
-        (0, 100, 2.0, float(group)) for group in GROUPS]
+        (0, 100, 2.0, float(group)) for group in GROUPS
+    ]
     assert host.moment.deadline == host.loop.us + SECOND
     host.send(3, 1, 0, 2)
     names = {attempt.request.name for attempt in host.attempts}
     assert len(names) == 4 and all(len(name) == 16 and int(name, 16) >= 0 for name in names)
     assert all(host.scatterer.owns(name) for name in names)
     assert [attempt.request.work for attempt in host.attempts] == [
-        STATEMENT.replace(b"{group}", str(GROUPS[place]).encode()) for place in (3, 1, 0, 2)]
-    assert host.moment.asks == [(3, "s-3", State.USUAL), (1, "s-1", State.COLD), (0, "s-0", State.USUAL),
-                                (2, "s-2", State.SLOW)]
+        STATEMENT.replace(b"{group}", str(GROUPS[place]).encode()) for place in (3, 1, 0, 2)
+    ]
+    assert host.moment.asks == [
+        (3, "s-3", State.USUAL),
+        (1, "s-1", State.COLD),
+        (0, "s-0", State.USUAL),
+        (2, "s-2", State.SLOW),
+    ]
     for place in (2, 0, 3, 1):
         host.end(place)
     assert host.moment.ends == [(place, Fate.WHOLE) for place in (2, 0, 3, 1)]
@@ -183,8 +200,7 @@
     host.done(served(7, 5))
 
 
-@pytest.mark.parametrize(("verdict", "whole"), [
-    (Enough(), 1), (TooFew(), 3), (Wait(0), 1)])
+@pytest.mark.parametrize(("verdict", "whole"), [(Enough(), 1), (TooFew(), 3), (Wait(0), 1)])
 def test_below_the_least_it_fails_whatever_the_moment_says(verdict: Verdict, whole: int) -> None:
     host = Host()
     host.ask()
@@ -242,13 +258,16 @@
     else:
         assert not host.attempts and set(host.given_up) == {host.ids[place] for place in (0, 1, 3)}
         assert [event.outcome for event in host.events if isinstance(event, api.AttemptEnded)] == [
-            api.Outcome.MOOT]
+            api.Outcome.MOOT
+        ]
         host.done(Refused(90_000))
 
 
 def test_what_only_full_engines_took_is_refused_and_what_ran_fails() -> None:
-    for outcome, wanted in ((api.Outcome.FULL, Refused(60_000)),
-                            (api.Outcome.ERROR, Failed("0 of 4 parts came in time, which is too few"))):
+    for outcome, wanted in (
+        (api.Outcome.FULL, Refused(60_000)),
+        (api.Outcome.ERROR, Failed("0 of 4 parts came in time, which is too few")),
+    ):
         host = Host()
         host.ask()
         host.send(0)
@@ -302,8 +321,12 @@
     assert len(host.answers) == 9 - len(host.scatterer.open)
 
 
-CONFIG = from_json(json.dumps({
-    "name": "n0", "listen": "127.0.0.1:0", "seed": "1", "journal": "127.0.0.1:1", "settings": SETTINGS}), {})
+CONFIG = from_json(
+    json.dumps(
+        {"name": "n0", "listen": "127.0.0.1:0", "seed": "1", "journal": "127.0.0.1:1", "settings": SETTINGS}
+    ),
+    {},
+)
 FILE = '[[scatter]]\nclass = "report"\nparts = "lookup"\ngroups = [7, 3, 12, 5]\n'
 
 
@@ -313,22 +336,32 @@
     return load_gather(CONFIG, {"SLIPBAY_GATHER": str(path)})
 
 
-@pytest.mark.parametrize(("text", "told"), [
-    ("", "scatter: want at least one class"),
-    ("most_open = 0\n" + FILE, "most_open: Expected"),
-    ("most_mb = 900\n" + FILE, "most_mb: want at most a quarter of limits.memory_mb"),
-    (FILE + "lates_ms = 1", "scatter[0].lates_ms: no such key"),
-    (FILE.replace("report", "reports"), "scatter[0].class: want one of lookup, report, ticket-load"),
-    (FILE.replace("report", "ticket-load"), "scatter[0].class: want a class that is not of those never run"),
-    (FILE.replace("lookup", "ticket-load"), "scatter[0].parts: want a class that is safe to repeat"),
-    (FILE.replace("[7, ", "[3, "), "scatter[0].groups: want each group once"),
-    (FILE.replace("[7, 3, 12, 5]", "[7]"), "scatter[0].groups: Expected"),
-    (FILE + 'mark = "12"', "scatter[0].mark: want a mark with a sign in it"),
-    (FILE + "curve = [[0.5, 0.5]]", "scatter[0].curve: want pairs of share and worth"),
-    (FILE + "curve = [[0.5, 0.9], [0.7, 0.8], [1, 1]]", "scatter[0].curve: want shares and worths that rise"),
-    (FILE + "curve = [[0.5, nan], [1, 1]]", "scatter[0].curve[0][1]: want a finite number"),
-    (FILE + 'cost = "none"', "scatter[0].cost: Expected"),
-    (FILE + FILE, "scatter[1].class: want each class once")])
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        ("", "scatter: want at least one class"),
+        ("most_open = 0\n" + FILE, "most_open: Expected"),
+        ("most_mb = 900\n" + FILE, "most_mb: want at most a quarter of limits.memory_mb"),
+        (FILE + "lates_ms = 1", "scatter[0].lates_ms: no such key"),
+        (FILE.replace("report", "reports"), "scatter[0].class: want one of lookup, report, ticket-load"),
+        (
+            FILE.replace("report", "ticket-load"),
+            "scatter[0].class: want a class that is not of those never run",
+        ),
+        (FILE.replace("lookup", "ticket-load"), "scatter[0].parts: want a class that is safe to repeat"),
+        (FILE.replace("[7, ", "[3, "), "scatter[0].groups: want each group once"),
+        (FILE.replace("[7, 3, 12, 5]", "[7]"), "scatter[0].groups: Expected"),
+        (FILE + 'mark = "12"', "scatter[0].mark: want a mark with a sign in it"),
+        (FILE + "curve = [[0.5, 0.5]]", "scatter[0].curve: want pairs of share and worth"),
+        (
+            FILE + "curve = [[0.5, 0.9], [0.7, 0.8], [1, 1]]",
+            "scatter[0].curve: want shares and worths that rise",
+        ),
+        (FILE + "curve = [[0.5, nan], [1, 1]]", "scatter[0].curve[0][1]: want a finite number"),
+        (FILE + 'cost = "none"', "scatter[0].cost: Expected"),
+        (FILE + FILE, "scatter[1].class: want each class once"),
+    ],
+)
 def test_a_bad_file_is_refused_with_file_key_and_reason(tmp_path: Path, text: str, told: str) -> None:
     with pytest.raises(ConfigError) as problem:
         gather_file(tmp_path, "enabled = true\n" + text)
@@ -336,8 +369,9 @@
 
 
 def test_a_good_file_is_read_whole_and_one_that_is_off_says_nothing(tmp_path: Path) -> None:
-    found = gather_file(tmp_path, "enabled = true\n" + FILE + (
-        "curve = [[0.5, 0.5], [1, 1]]\nlatest_ms = 1000\n"))
+    found = gather_file(
+        tmp_path, "enabled = true\n" + FILE + ("curve = [[0.5, 0.5], [1, 1]]\nlatest_ms = 1000\n")
+    )
     assert found == GatherPlan((SPEC,), 256, 16 * 1024 * 1024)
     assert gather_file(tmp_path, "most_open = 3\n") is None
 
@@ -348,8 +382,11 @@
         if call.method == "DELETE":
             return http_answer(204)
         groups[name] = groups.get(name) or call.body.decode().split("sales_")[1].split(".")[0]
-        return http_answer(202) if groups[name] == "12" else http_answer(
-            200, f"{groups[name]}\t{name}\n".encode(), X_Sheets="1")
+        return (
+            http_answer(202)
+            if groups[name] == "12"
+            else http_answer(200, f"{groups[name]}\t{name}\n".encode(), X_Sheets="1")
+        )
 
     groups: dict[str, str] = {}
 
@@ -361,11 +398,15 @@
             client = await net.client()
             id = client.query("report", STATEMENT.decode())
             answer = await client.answer()
-            rows = [row.split("\t")[0] for row in base64.b64decode(
-                answer["result"]["data"]).decode().splitlines()]
+            rows = [
+                row.split("\t")[0] for row in base64.b64decode(answer["result"]["data"]).decode().splitlines()
+            ]
             assert answer["id"] == id and rows == ["7", "3", "5"]
             assert answer["result"]["parts"] == {
-                "asked": [7, 3, 12, 5], "present": [7, 3, 5], "missing": [12]}
+                "asked": [7, 3, 12, 5],
+                "present": [7, 3, 5],
+                "missing": [12],
+            }
             await until(lambda: bool(engine.named("DELETE")))
             assert [groups[call.path.split("/")[2]] for call in engine.named("DELETE")] == ["12"]
             client.query("report", "SELECT 1 FROM sales_7.orders")  # without the mark: an ordinary one
@@ -377,19 +418,29 @@
             assert isinstance(scatterer, Scatterer)
             await until(lambda: scatterer.counts["report"]["left"] == 2 and not net.router.core.requests)
             status = {"name": "n0", "words": {"told": 3}, **scatterer.status()}
-            assert status["open"] == 0 and status["classes"] == {"report": {
-                "whole": 0, "partial": 1, "failed": 0, "refused": 0, "left": 2, "parts_present": 3,
-                "parts_missing": 1}}
+            assert status["open"] == 0 and status["classes"] == {
+                "report": {
+                    "whole": 0,
+                    "partial": 1,
+                    "failed": 0,
+                    "refused": 0,
+                    "left": 2,
+                    "parts_present": 3,
+                    "parts_missing": 1,
+                }
+            }
             assert 'slipbay_gather_parts_total{class="report",router="n0",what="missing"} 1.0' in exposition(
-                status)
+                status
+            )
 
     run(test)
 
 
 def test_part_times_outlive_a_router_in_its_store(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     found: list[list[bytes]] = []
-    monkeypatch.setattr(GatherPart, "recall", lambda part, value: found.append(
-        restored(value, part._now())[0]))
+    monkeypatch.setattr(
+        GatherPart, "recall", lambda part, value: found.append(restored(value, part._now())[0])
+    )
 
     async def test() -> None:
         for life in range(2):
@@ -410,7 +461,7 @@
     assert restored(kept, 7 * SECOND) == ([b"one", b"", b"another"], 2 * SECOND)
     for place in range(len(kept)):
         with pytest.raises(ValueError, match="whole"):
-            restored(kept[:place] + bytes([kept[place] ^ 1]) + kept[place + 1:], 7 * SECOND)
+            restored(kept[:place] + bytes([kept[place] ^ 1]) + kept[place + 1 :], 7 * SECOND)
     for value, told in ((kept[:5], "whole"), (kept, "to come")):
         with pytest.raises(ValueError, match=told):
             restored(value, 4 * SECOND)
@@ -464,8 +515,11 @@
             case Served(result, Parts(asked, present, missing)):
                 assert asked == GROUPS and sorted(present + missing) == sorted(GROUPS)
                 assert len(present) >= 2, "below the least"
-                rows = {one.request.group: b"row of %d\n" % one.request.group for one in owned
-                        if one.request.name in self.whole}
+                rows = {
+                    one.request.group: b"row of %d\n" % one.request.group
+                    for one in owned
+                    if one.request.name in self.whole
+                }
                 assert all(group in rows for group in present), "claims what is missing"
                 assert result == b"".join(rows[group] for group in GROUPS if group in present)
             case Refused():
@@ -482,8 +536,14 @@
             verdicts: list[Verdict] = [soon, Enough(), TooFew(), Wait(0)]
             self.moment.verdict = draw.choice([*verdicts, *3 * [Wait(10**18)]])
             if choice < 0.1:
-                request = Request(f"{len(self.gatherings):016x}", 1, draw.randrange(1, 2 * SECOND), STATEMENT,
-                                  self, cast(Any, self))
+                request = Request(
+                    f"{len(self.gatherings):016x}",
+                    1,
+                    draw.randrange(1, 2 * SECOND),
+                    STATEMENT,
+                    self,
+                    cast(Any, self),
+                )
                 self.gatherings[request] = set()
                 self.scatterer.submit(request)
                 self.gatherings[request] |= {self.scatterer.open.get(request)}
@@ -507,7 +567,8 @@
             attempt.ended(api.Outcome.CANCELLED)
         self.loop.advance(SECOND)
         assert {request for request, answers in self.told.items() if len(answers) == 1} == (
-            self.gatherings.keys() - self.left), "not one answer each"
+            self.gatherings.keys() - self.left
+        ), "not one answer each"
         assert not (self.scatterer.open or self.scatterer.names or self.scatterer.bytes), "something is kept"
         assert not (self.core.requests or self.alive or self.sent), "the decisions wait for what never comes"
 
@@ -517,12 +578,20 @@
         Drawn(seed).play(120)
 
 
-@pytest.mark.parametrize(("fault", "told"), [
-    ("claims", "claims what is missing"), ("least", "below the least"), ("refuses", "may have run"),
-    ("keeps", "something is kept|waits? for what never comes"), ("forgets", "waits? for what never comes"),
-    ("twice", "not one answer each")])
+@pytest.mark.parametrize(
+    ("fault", "told"),
+    [
+        ("claims", "claims what is missing"),
+        ("least", "below the least"),
+        ("refuses", "may have run"),
+        ("keeps", "something is kept|waits? for what never comes"),
+        ("forgets", "waits? for what never comes"),
+        ("twice", "not one answer each"),
+    ],
+)
 def test_random_histories_find_faults_put_in_on_purpose(
-        monkeypatch: pytest.MonkeyPatch, fault: str, told: str) -> None:
+    monkeypatch: pytest.MonkeyPatch, fault: str, told: str
+) -> None:
     answer, close = Gathering._answer, Gathering.close
 
     def wrong(self: Gathering, now: int, given: Answer) -> None:
@@ -544,8 +613,9 @@
     if fault == "least":
         monkeypatch.setattr(scatter, "ROUNDING", 0.3)
     if fault == "forgets":  # a part that is over by another's action is forgotten within the turn
-        monkeypatch.setattr(Core, "_carrying", property(lambda core: False, lambda core, value: None),
-                            raising=False)
+        monkeypatch.setattr(
+            Core, "_carrying", property(lambda core: False, lambda core, value: None), raising=False
+        )
     with pytest.raises(AssertionError, match=told):
         for seed in range(150):
             Drawn(seed).play(120)
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -26,9 +26,22 @@
 
 def ask(number: int) -> bytes:
     """A whole request; it lasts longer than any wait of these tests."""
-    return json.dumps({"jsonrpc": "2.0", "id": 9, "method": "lookup", "params": {
-        "txn": f"{number:016x}", "limit": 2000, "cpu": 80.0,
-        "data": base64.b64encode(b"SELECT 1").decode()}}).encode() + b"\n"
+    return (
+        json.dumps(
+            {
+                "jsonrpc": "2.0",
+                "id": 9,
+                "method": "lookup",
+                "params": {
+                    "txn": f"{number:016x}",
+                    "limit": 2000,
+                    "cpu": 80.0,
+                    "data": base64.b64encode(b"SELECT 1").decode(),
+                },
+            }
+        ).encode()
+        + b"\n"
+    )
 
 
 def test_a_router_that_stood_still_answers_all_who_still_wait(tmp_path: Path) -> None:
@@ -77,12 +90,16 @@
     assert "none can be taken: Too many open files" in told and process.returncode == 0
 
 
-@pytest.mark.parametrize("close", [
-    lambda server: server.let_go(), lambda server: server._sweep(), lambda server: server.leave(10_000_000)])
+@pytest.mark.parametrize(
+    "close",
+    [lambda server: server.let_go(), lambda server: server._sweep(), lambda server: server.leave(10_000_000)],
+)
 def test_a_request_that_has_come_is_answered_on_a_connection_about_to_be_closed(
-        close: Callable[[Server], None]) -> None:
+    close: Callable[[Server], None],
+) -> None:
     """Guards against requests that come while the loop is busy, and are not read before their connection is
     thought idle: on one that is known, and on one that waits to be taken."""
+
     async def test() -> None:
         async with Loopback(StandInEngine()) as net:
             known = await net.client()
@@ -105,6 +122,7 @@
 
 def test_a_client_that_is_let_go_sees_it_at_once() -> None:
     """Guards against a request that comes between the look for what is unread and the close a turn later."""
+
     async def test() -> None:
         async with Loopback(StandInEngine()) as net:
             known = await net.client()
--- a/tests/test_spiffe.py
+++ b/tests/test_spiffe.py
@@ -32,32 +32,66 @@
         self.name = x509.Name([x509.NameAttribute(NameOID.ORGANIZATION_NAME, "SPIFFE")])
         self.certificate = self.sign(self.key, [f"spiffe://{DOMAIN}"], is_ca=True)
 
-    def sign(self, key: ec.EllipticCurvePrivateKey, uris: list[str], is_ca: bool = False,
-             signs_certificates: bool = False) -> x509.Certificate:
-        usage = {"digital_signature": True, "key_cert_sign": is_ca or signs_certificates, **dict.fromkeys((
-            "content_commitment", "key_encipherment", "data_encipherment", "key_agreement", "crl_sign",
-            "encipher_only", "decipher_only"), False)}
+    def sign(
+        self,
+        key: ec.EllipticCurvePrivateKey,
+        uris: list[str],
+        is_ca: bool = False,
+        signs_certificates: bool = False,
+    ) -> x509.Certificate:
+        usage = {
+            "digital_signature": True,
+            "key_cert_sign": is_ca or signs_certificates,
+            **dict.fromkeys(
+                (
+                    "content_commitment",
+                    "key_encipherment",
+                    "data_encipherment",
+                    "key_agreement",
+                    "crl_sign",
+                    "encipher_only",
+                    "decipher_only",
+                ),
+                False,
+            ),
+        }
         names: list[x509.GeneralName] = [x509.UniformResourceIdentifier(uri) for uri in uris]
-        subject = self.name if key is self.key else x509.Name(
-            [x509.NameAttribute(NameOID.COMMON_NAME, "workload")])
-        return (x509.CertificateBuilder().subject_name(subject).issuer_name(self.name)
-                .public_key(key.public_key()).serial_number(x509.random_serial_number())
-                .not_valid_before(NOW - datetime.timedelta(days=1))
-                .not_valid_after(NOW + datetime.timedelta(days=1))
-                .add_extension(x509.BasicConstraints(ca=is_ca, path_length=None), critical=True)
-                .add_extension(x509.KeyUsage(**usage), critical=True)
-                .add_extension(x509.SubjectAlternativeName(
-                    names or [x509.IPAddress(ipaddress.ip_address("127.0.0.1"))]), critical=False)
-                .sign(self.key, hashes.SHA256()))
+        subject = (
+            self.name if key is self.key else x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "workload")])
+        )
+        return (
+            x509.CertificateBuilder()
+            .subject_name(subject)
+            .issuer_name(self.name)
+            .public_key(key.public_key())
+            .serial_number(x509.random_serial_number())
+            .not_valid_before(NOW - datetime.timedelta(days=1))
+            .not_valid_after(NOW + datetime.timedelta(days=1))
+            .add_extension(x509.BasicConstraints(ca=is_ca, path_length=None), critical=True)
+            .add_extension(x509.KeyUsage(**usage), critical=True)
+            .add_extension(
+                x509.SubjectAlternativeName(names or [x509.IPAddress(ipaddress.ip_address("127.0.0.1"))]),
+                critical=False,
+            )
+            .sign(self.key, hashes.SHA256())
+        )
 
     def write(self, folder: Path, name: str, uris: list[str], **how: bool) -> tuple[Path, Path]:
         """A workload's certificate and key, replaced in one step each, as an agent does."""
         key = ec.generate_private_key(ec.SECP256R1())
         paths = folder / f"{name}.pem", folder / f"{name}.key"
-        for path, data in zip(paths, (
+        for path, data in zip(
+            paths,
+            (
                 self.sign(key, uris, **how).public_bytes(serialization.Encoding.PEM),
-                key.private_bytes(serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8,
-                                  serialization.NoEncryption())), strict=True):
+                key.private_bytes(
+                    serialization.Encoding.PEM,
+                    serialization.PrivateFormat.PKCS8,
+                    serialization.NoEncryption(),
+                ),
+            ),
+            strict=True,
+        ):
             path.with_suffix(".new").write_bytes(data)
             os.replace(path.with_suffix(".new"), path)
         return paths
@@ -103,10 +137,18 @@
     run(test)
 
 
-@pytest.mark.parametrize("uris, how", [
-    ([f"spiffe://{DOMAIN}/office/unknown"], {}), (["spiffe://elsewhere.example/office/ishikari"], {}),
-    ([OFFICE, f"spiffe://{DOMAIN}/other"], {}), ([], {}), ([f"spiffe://{DOMAIN}/a/../office/ishikari"], {}),
-    ([OFFICE], {"is_ca": True}), ([OFFICE], {"signs_certificates": True})])
+@pytest.mark.parametrize(
+    "uris, how",
+    [
+        ([f"spiffe://{DOMAIN}/office/unknown"], {}),
+        (["spiffe://elsewhere.example/office/ishikari"], {}),
+        ([OFFICE, f"spiffe://{DOMAIN}/other"], {}),
+        ([], {}),
+        ([f"spiffe://{DOMAIN}/a/../office/ishikari"], {}),
+        ([OFFICE], {"is_ca": True}),
+        ([OFFICE], {"signs_certificates": True}),
+    ],
+)
 def test_other_certificates_are_turned_away(tmp_path: Path, uris: list[str], how: dict[str, bool]) -> None:
     async def test() -> None:
         authority = Authority()
@@ -151,12 +193,25 @@
     run(test)
 
 
-@pytest.mark.parametrize("id", [
-    "http://kitaboshi.example/a", "spiffe://Kitaboshi/a", "spiffe://kitaboshi.example", "spiffe:///a",
-    "spiffe://kitaboshi.example/", "spiffe://kitaboshi.example/a/", "spiffe://kitaboshi.example//a",
-    "spiffe://kitaboshi.example/.", "spiffe://kitaboshi.example/a?b", "spiffe://kitaboshi.example/a#b",
-    "spiffe://kitaboshi.example:80/a", "spiffe://u@kitaboshi.example/a", "spiffe://kitaboshi.example/%41",
-    "spiffe://kitaboshi.example/" + "a" * 2048])
+@pytest.mark.parametrize(
+    "id",
+    [
+        "http://kitaboshi.example/a",
+        "spiffe://Kitaboshi/a",
+        "spiffe://kitaboshi.example",
+        "spiffe:///a",
+        "spiffe://kitaboshi.example/",
+        "spiffe://kitaboshi.example/a/",
+        "spiffe://kitaboshi.example//a",
+        "spiffe://kitaboshi.example/.",
+        "spiffe://kitaboshi.example/a?b",
+        "spiffe://kitaboshi.example/a#b",
+        "spiffe://kitaboshi.example:80/a",
+        "spiffe://u@kitaboshi.example/a",
+        "spiffe://kitaboshi.example/%41",
+        "spiffe://kitaboshi.example/" + "a" * 2048,
+    ],
+)
 def test_invalid_ids(id: str) -> None:
     with pytest.raises(InvalidId):
         check_id(id)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -116,8 +116,11 @@
         Store.open(first, SMALL)
         for at, part in cuts(first.ops):
             second = SimDisk()
-            prefix = [op for name, data in before.items()
-                      for op in (("create", name, b""), ("append", name, data), ("sync", name, b""))]
+            prefix = [
+                op
+                for name, data in before.items()
+                for op in (("create", name, b""), ("append", name, data), ("sync", name, b""))
+            ]
             ops = [*prefix, ("sync_folder", "", b""), *first.ops]
             second = image(ops, at + len(prefix) + 1, part, "any", random)
             found = Store.open(second, SMALL)
@@ -169,8 +172,11 @@
     """A crash now; the new disk remembers its start as synced operations."""
     found = image(disk.ops, len(disk.ops), 0, keep, random)
     files = {name: bytes(file.data) for name, file in found.files.items()}
-    found.ops = [op for name, data in files.items()
-                 for op in (("create", name, b""), ("append", name, data), ("sync", name, b""))]
+    found.ops = [
+        op
+        for name, data in files.items()
+        for op in (("create", name, b""), ("append", name, data), ("sync", name, b""))
+    ]
     found.ops.append(("sync_folder", "", b""))
     return found
 
@@ -225,7 +231,7 @@
     last = frame.FRAME_BYTES + len(b"key19value")
     for at in range(frame.HEAD_BYTES, len(whole)):
         files = {name: bytes(file.data) for name, file in history.disk.files.items()}
-        files[name] = whole[:at] + bytes([whole[at] ^ 1 << at % 8]) + whole[at + 1:]
+        files[name] = whole[:at] + bytes([whole[at] ^ 1 << at % 8]) + whole[at + 1 :]
         if at < len(whole) - last:
             with pytest.raises(Damaged, match=f"{name}: byte"):
                 Store.open(SimDisk(files))
@@ -249,7 +255,7 @@
         opened(**{sealed: files[sealed][:-1]})
     middle = len(files[sealed]) // 2
     with pytest.raises(Damaged, match=sealed):
-        opened(**{sealed: files[sealed][:middle] + b"\xff\xff" + files[sealed][middle + 2:]})
+        opened(**{sealed: files[sealed][:middle] + b"\xff\xff" + files[sealed][middle + 2 :]})
     with pytest.raises(Damaged, match="MANIFEST: it is missing"):
         opened(MANIFEST=None)
     with pytest.raises(Damaged, match="MANIFEST: this is no manifest"):
@@ -259,7 +265,7 @@
         opened(MANIFEST=newer)
     head = frame.HEAD.pack(frame.MAGIC, frame.FORMAT + 1, 1, 0)
     with pytest.raises(NewerFormat, match=f"{sealed}: format 2"):
-        opened(**{sealed: head + files[sealed][len(head):]})
+        opened(**{sealed: head + files[sealed][len(head) :]})
     with pytest.raises(Damaged, match="head is that of another"):
         opened(**{sealed: files[history.store.segments[-1].name] + b"x" * 1000})
 
@@ -288,15 +294,20 @@
             store.commit([(key, b"new")])
             model[key] = b"new"
     assert steps > 4 and store.totals.compactions and store.used_bytes < before / 2
-    assert contents(store) == model and contents(Store.open(SimDisk(
-        {name: bytes(file.data) for name, file in disk.files.items()}))) == model
+    assert (
+        contents(store) == model
+        and contents(Store.open(SimDisk({name: bytes(file.data) for name, file in disk.files.items()})))
+        == model
+    )
 
 
 def test_one_process_only_and_a_folder_that_cannot_be_written(tmp_path: Path) -> None:
     store = Store.open(Folder(tmp_path))
-    code = ("import sys, pathlib\nfrom slipbay.store.disk import Folder, InUse\n"
-            "from slipbay.store.engine import Store\n"
-            "try: Store.open(Folder(pathlib.Path(sys.argv[1])))\nexcept InUse as problem: print(problem)")
+    code = (
+        "import sys, pathlib\nfrom slipbay.store.disk import Folder, InUse\n"
+        "from slipbay.store.engine import Store\n"
+        "try: Store.open(Folder(pathlib.Path(sys.argv[1])))\nexcept InUse as problem: print(problem)"
+    )
     told = subprocess.run([sys.executable, "-c", code, str(tmp_path)], capture_output=True, text=True)
     assert "another process has this store open" in told.stdout, told.stderr
     with pytest.raises(InUse):
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -30,7 +30,8 @@
     assert len(verdict.quotas) == quotas and all(row["worst"] > 0 for row in verdict.quotas)
     assert verdict.fullest > 300  # the judge holds it below the budget, and allows for a machine that stood
     assert {answer.tenant for answer in verdict.answers if answer.outcome == "served"} == {
-        answer.tenant for answer in verdict.answers}
+        answer.tenant for answer in verdict.answers
+    }
     assert verdict.outcomes["lookup refused"] > 20 and verdict.outcomes["ticket-load served"]
 
 
@@ -40,7 +41,8 @@
 
 
 def test_all_rules_hold_over_two_restarts_of_all_a_cut_lost_stores_and_stops(
-        played: tuple[Verdict, list[list[str]]]) -> None:
+    played: tuple[Verdict, list[list[str]]],
+) -> None:
     verdict, lines = played
     kept(verdict, quotas=2)
     assert verdict.outcomes["lookup served"] > 100
@@ -50,7 +52,8 @@
 
 
 def test_no_load_ran_twice_though_stores_were_lost_and_put_back(
-        played: tuple[Verdict, list[list[str]]]) -> None:
+    played: tuple[Verdict, list[list[str]]],
+) -> None:
     verdict, lines = played
     loads = {answer.txn for answer in verdict.answers if answer.service_class == "ticket-load"}
     runs = Counter(txn for _, _, txn in verdict.book.begun if txn in loads)
@@ -62,8 +65,11 @@
 def test_holders_die_twice_halves_part_and_clocks_jump_and_no_window_passes_a_quota(tmp_path: Path) -> None:
     verdict, _ = lines_of(read(FOLDER / "rig-together-quota.toml"), tmp_path)
     kept(verdict, quotas=2)
-    parted = {(answer.tenant, answer.router // 4) for answer in verdict.answers
-              if answer.outcome == "served" and 8 < answer.asked < 11}
+    parted = {
+        (answer.tenant, answer.router // 4)
+        for answer in verdict.answers
+        if answer.outcome == "served" and 8 < answer.asked < 11
+    }
     assert {("ishikari-fuel", 0), ("ishikari-fuel", 1)} <= parted  # both halves serve what is theirs
 
 
@@ -81,8 +87,18 @@
     the program does not see, or a judge that does not look, would pass."""
     quota = read(FOLDER / "rig-together-rolling.toml").quota
     jumps = [{"at": 2 + 0.3 * n, "what": "jump", "routers": [0, 1, 2], "ms": 900} for n in range(6)]
-    verdict, _ = lines_of(from_table({
-        "routers": 3, "seconds": 4, "fleet": "enabled = true", "channel": "enabled = true", "quota": quota,
-        "load": {"lookup_ms": 5, "tries": 1, "tenants": [{"name": "ishikari-fuel", "lookups": 130}]},
-        "do": jumps}), tmp_path)
+    verdict, _ = lines_of(
+        from_table(
+            {
+                "routers": 3,
+                "seconds": 4,
+                "fleet": "enabled = true",
+                "channel": "enabled = true",
+                "quota": quota,
+                "load": {"lookup_ms": 5, "tries": 1, "tenants": [{"name": "ishikari-fuel", "lookups": 130}]},
+                "do": jumps,
+            }
+        ),
+        tmp_path,
+    )
     assert any(fault.startswith("quota: fuel passed 40 x t") for fault in verdict.faults), verdict.quotas
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -11,8 +11,10 @@
 from martenkeel import decide
 
 KEPT = json.loads(traces.KEPT.read_text())
-HOW = ("; where that is meant, say why in the commit, with the measurement that asks for it, and record anew:"
-       " python tests/traces.py record tests/data/traces.json")
+HOW = (
+    "; where that is meant, say why in the commit, with the measurement that asks for it, and record anew:"
+    " python tests/traces.py record tests/data/traces.json"
+)
 
 
 @pytest.mark.skipif(traces.VERSION not in KEPT, reason=f"kept for Python {', '.join(KEPT)} only")
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -16,7 +16,12 @@
 
 ROOT = Path(__file__).parent.parent
 INFO: dict[str, Any] = {
-    "balancers": 2, "me": 1, "zone": 0, "tickUs": 5000, "membershipMode": "pushed", "unknownKey": [1],
+    "balancers": 2,
+    "me": 1,
+    "zone": 0,
+    "tickUs": 5000,
+    "membershipMode": "pushed",
+    "unknownKey": [1],
     "familyInfo": {"cpuOfKind": [8], "isLoad": [False], "threadsByClass": [2], "progressUs": 1000000},
     "policyLimits": {"attemptsCap": 3, "mayCancel": True, "retryAfter": True, "maxRetryAfterUs": 2000000},
     "profiles": [{"promiseUs": 1500000, "giveUpUs": 7500000, "effect": "retryable", "odd": 1}],
@@ -39,8 +44,14 @@
 
 
 def run(data: bytes) -> subprocess.CompletedProcess[bytes]:
-    return subprocess.run([sys.executable, "-m", "martenkeel.wirehost"], cwd=ROOT, input=data,
-                          capture_output=True, timeout=60, check=False)
+    return subprocess.run(
+        [sys.executable, "-m", "martenkeel.wirehost"],
+        cwd=ROOT,
+        input=data,
+        capture_output=True,
+        timeout=60,
+        check=False,
+    )
 
 
 ENGINE = bytes.fromhex("0a124a078b13")
@@ -48,76 +59,128 @@
 
 def test_submit() -> None:
     got = decode("0b 03000000 c4913a5d 0000 00000000 640ad2557c3bf091 80a90300 e02e0000 0000c043 00003041 01")
-    assert got == [wire.Arrived(3, api.QueryArrived(
-        0x5D3A91C4, 0, 240_000, 12_000, 384.0, 11.0, 0x91F03B7C55D20A64))]
+    assert got == [
+        wire.Arrived(3, api.QueryArrived(0x5D3A91C4, 0, 240_000, 12_000, 384.0, 11.0, 0x91F03B7C55D20A64))
+    ]
 
 
 def test_submit_without_a_valid_cost() -> None:
     got = decode("0b 03000000 c4913a5d 0000 00000000 0000000000000000 80a90300 e02e0000 00000000 00003041 06")
     assert isinstance(got[0], wire.Arrived)
-    assert got[0].event == api.QueryArrived(0x5D3A91C4, 0, 240_000, None, 0.0, 11.0,
-                                            is_repeat=True, is_write=True)
-
-
-@pytest.mark.parametrize(("code", "outcome"), [
-    ("c800", api.Outcome.OK), ("f401", api.Outcome.ERROR), ("f701", api.Outcome.FULL),
-    ("f801", api.Outcome.TIMEOUT), ("f601", api.Outcome.CONNECT_FAILED), ("5602", api.Outcome.RESET),
-    ("f301", api.Outcome.CANCELLED), ("9a01", api.Outcome.MOOT)])
+    assert got[0].event == api.QueryArrived(
+        0x5D3A91C4, 0, 240_000, None, 0.0, 11.0, is_repeat=True, is_write=True
+    )
+
+
+@pytest.mark.parametrize(
+    ("code", "outcome"),
+    [
+        ("c800", api.Outcome.OK),
+        ("f401", api.Outcome.ERROR),
+        ("f701", api.Outcome.FULL),
+        ("f801", api.Outcome.TIMEOUT),
+        ("f601", api.Outcome.CONNECT_FAILED),
+        ("5602", api.Outcome.RESET),
+        ("f301", api.Outcome.CANCELLED),
+        ("9a01", api.Outcome.MOOT),
+    ],
+)
 def test_report_back(code: str, outcome: api.Outcome) -> None:
     got = decode(f"09 03000000 c4913a5d 00 0a124a07 8b13 {code} 44480000 01 60100100 01 52b81e3f")
     work = 17_000 if outcome is api.Outcome.OK else None
-    assert got == [wire.Arrived(3, api.AttemptEnded(
-        0x5D3A91C4, 0, ENGINE, outcome, 18_500, True, work, 96 * 4.0,
-        api.LoadReport((struct.unpack("<f", bytes.fromhex("52b81e3f"))[0],))))]
+    assert got == [
+        wire.Arrived(
+            3,
+            api.AttemptEnded(
+                0x5D3A91C4,
+                0,
+                ENGINE,
+                outcome,
+                18_500,
+                True,
+                work,
+                96 * 4.0,
+                api.LoadReport((struct.unpack("<f", bytes.fromhex("52b81e3f"))[0],)),
+            ),
+        )
+    ]
 
 
 def test_small_events() -> None:
-    assert decode("03 03000000 4d000000", "04 05000000 192b6f0e", "07 03000000",
-                  "0c 03000000 c4913a5d 00 0a124a07 8b13 22240000",
-                  "05 03000000 c4913a5d 0a124a07 8b13 0000003f 00 01",
-                  "01 03000000 78050000 0a124a07 8b13 c800 01 0000003f") == [
+    assert decode(
+        "03 03000000 4d000000",
+        "04 05000000 192b6f0e",
+        "07 03000000",
+        "0c 03000000 c4913a5d 00 0a124a07 8b13 22240000",
+        "05 03000000 c4913a5d 0a124a07 8b13 0000003f 00 01",
+        "01 03000000 78050000 0a124a07 8b13 c800 01 0000003f",
+    ) == [
         wire.Arrived(3, api.TimerFired(77)),
         wire.Arrived(5, api.QueryGone(0x0E6F2B19)),
         wire.Stopped(3),
         wire.Arrived(3, api.StreamBegun(0x5D3A91C4, 0, ENGINE)),
         wire.Arrived(3, api.AttemptNote(0x5D3A91C4, 0, ENGINE, api.NoteKind.SHARE_DONE, 0.5)),
-        wire.Arrived(3, api.ProbeEnded(ENGINE, api.Outcome.OK, 1400, api.LoadReport((0.5,))))]
+        wire.Arrived(3, api.ProbeEnded(ENGINE, api.Outcome.OK, 1400, api.LoadReport((0.5,)))),
+    ]
 
 
 def test_whisper() -> None:
     assert decode("08 03000000 0200 00000000 04000000", tail=b"hi 7") == [
-        wire.Arrived(3, api.PeerMessage(2, b"hi 7"))]
+        wire.Arrived(3, api.PeerMessage(2, b"hi 7"))
+    ]
 
 
 def test_lists_are_used_in_order_though_their_slots_are_reused() -> None:
     first = bytes.fromhex("0a124a078b13 00 0000 0000 02 0000803f 0000000000000000".replace(" ", ""))
     second = bytes.fromhex("0a9011f2b413 00 0000 0000 01 0000c03f 20145d0000000000".replace(" ", ""))
-    got = decode("06 00000000 00000000 01000000", "02 03000000 02 2900000000000000 00000000",
-                 "06 00000000 18000000 01000000", "02 03000000 00 2a00000000000000 00000000",
-                 "02 03000000 03 2a00000000000000 07000000", tail=first + second)
+    got = decode(
+        "06 00000000 00000000 01000000",
+        "02 03000000 02 2900000000000000 00000000",
+        "06 00000000 18000000 01000000",
+        "02 03000000 00 2a00000000000000 00000000",
+        "02 03000000 03 2a00000000000000 07000000",
+        tail=first + second,
+    )
     assert got == [
-        wire.Arrived(3, api.EngineList(api.ListKind.CACHED, (
-            api.EngineEntry(ENGINE, 0, 0, 0, api.EngineState.READY, 1.0, 0),))),
-        wire.Arrived(3, api.EngineList(api.ListKind.DELTA, (
-            api.EngineEntry(bytes.fromhex("0a9011f2b413"), 0, 0, 0, api.EngineState.DRAINING, 1.5,
-                            0x5D1420),))),
-        wire.Arrived(3, api.EngineList(api.ListKind.FAILED))]
-
-
-@pytest.mark.parametrize(("action", "expected"), [
-    (api.Dispatch(0x5D3A91C4, ENGINE, 80_000), "41 03000000 c4913a5d 0a124a07 8b13 80380100 0000000000"),
-    (api.Cancel(0x5D3A91C4, 0), "44 03000000 c4913a5d 00" + "00" * 14),
-    (api.Refuse(0x0E6F2B19, 250_000), "42 03000000 192b6f0e 90d00300" + "00" * 11),
-    (api.Fail(0x0E6F2B19), "43 03000000 192b6f0e" + "00" * 15),
-    (api.SetTimer(77, 8_912_506), "45 03000000 4d000000 7afe870000000000" + "00" * 7),
-    (api.Probe(ENGINE), "46 03000000 0a124a07 8b13" + "00" * 13),
-    (api.CloseIdle(ENGINE), "47 03000000 0a124a07 8b13" + "00" * 13),
-    (api.TellPeers(b"hi 7"), "48 03000000 ffff 00000000 04000000" + "00" * 9 + "68692037"),
-    (api.TellPeers(b"hi 7", to=2), "48 03000000 0200 00000000 04000000" + "00" * 9 + "68692037"),
-    (api.Log("two"), "49 03000000 00000000 03000000" + "00" * 11 + "74776f"),
-    (api.WatchList(), "4b 03000000 01" + "00" * 18),
-    (api.FetchList(), "4c 03000000" + "00" * 19),
-    (api.SetTerms(0x5D3A91C4, 2, 656.0), "4d 03000000 c4913a5d 00002444 02" + "00" * 10)])
+        wire.Arrived(
+            3,
+            api.EngineList(
+                api.ListKind.CACHED, (api.EngineEntry(ENGINE, 0, 0, 0, api.EngineState.READY, 1.0, 0),)
+            ),
+        ),
+        wire.Arrived(
+            3,
+            api.EngineList(
+                api.ListKind.DELTA,
+                (
+                    api.EngineEntry(
+                        bytes.fromhex("0a9011f2b413"), 0, 0, 0, api.EngineState.DRAINING, 1.5, 0x5D1420
+                    ),
+                ),
+            ),
+        ),
+        wire.Arrived(3, api.EngineList(api.ListKind.FAILED)),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("action", "expected"),
+    [
+        (api.Dispatch(0x5D3A91C4, ENGINE, 80_000), "41 03000000 c4913a5d 0a124a07 8b13 80380100 0000000000"),
+        (api.Cancel(0x5D3A91C4, 0), "44 03000000 c4913a5d 00" + "00" * 14),
+        (api.Refuse(0x0E6F2B19, 250_000), "42 03000000 192b6f0e 90d00300" + "00" * 11),
+        (api.Fail(0x0E6F2B19), "43 03000000 192b6f0e" + "00" * 15),
+        (api.SetTimer(77, 8_912_506), "45 03000000 4d000000 7afe870000000000" + "00" * 7),
+        (api.Probe(ENGINE), "46 03000000 0a124a07 8b13" + "00" * 13),
+        (api.CloseIdle(ENGINE), "47 03000000 0a124a07 8b13" + "00" * 13),
+        (api.TellPeers(b"hi 7"), "48 03000000 ffff 00000000 04000000" + "00" * 9 + "68692037"),
+        (api.TellPeers(b"hi 7", to=2), "48 03000000 0200 00000000 04000000" + "00" * 9 + "68692037"),
+        (api.Log("two"), "49 03000000 00000000 03000000" + "00" * 11 + "74776f"),
+        (api.WatchList(), "4b 03000000 01" + "00" * 18),
+        (api.FetchList(), "4c 03000000" + "00" * 19),
+        (api.SetTerms(0x5D3A91C4, 2, 656.0), "4d 03000000 c4913a5d 00002444 02" + "00" * 10),
+    ],
+)
 def test_actions(action: api.Action, expected: str) -> None:
     reply = wire.Reply()
     reply.add(3, [action])
@@ -157,20 +220,35 @@
     ready = bytes.fromhex("0a124a078b13 00 0000 0000 02 0000803f 0000000000000000".replace(" ", ""))
     at = len(info).to_bytes(4, "little").hex()
     asked = "0b 03000000 c4913a5d 0000 00000000 0000000000000000 80a90300 e02e0000 00000000 00003041 01"
-    live = batch(text, f"06 00000000 {at} 01000000", "02 03000000 02 2900000000000000 00000000", asked,
-                 tail=info + ready)
+    live = batch(
+        text,
+        f"06 00000000 {at} 01000000",
+        "02 03000000 02 2900000000000000 00000000",
+        asked,
+        tail=info + ready,
+    )
     ended = run(batch() + live + batch("07 03000000", text, tail=info, turn=2))
     assert (ended.returncode, ended.stderr) == (0, b"")
     assert ended.stdout[:12] == struct.pack("<III", 0, 0, 1)
     assert bytes.fromhex("4103000000c4913a5d0a124a078b13") in ended.stdout
 
 
-@pytest.mark.parametrize("data", [
-    b"\x01", batch("07 03000000")[:-1], batch("63 03000000"), batch("02 03000000 01"),
-    batch("02 03000000 09"), batch("0a 03000000 0000000000000000 00000000 ff000000"),
-    batch(start(b"not json")[0], tail=b"not json"), batch(start(b"[]")[0], tail=b"[]"),
-    batch("09 03000000 c4913a5d 00 0a124a07 8b13 e703"), batch("03 03000000 4d000000"),
-    struct.pack("<IIQI", 0, 5, 0, 1)])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x01",
+        batch("07 03000000")[:-1],
+        batch("63 03000000"),
+        batch("02 03000000 01"),
+        batch("02 03000000 09"),
+        batch("0a 03000000 0000000000000000 00000000 ff000000"),
+        batch(start(b"not json")[0], tail=b"not json"),
+        batch(start(b"[]")[0], tail=b"[]"),
+        batch("09 03000000 c4913a5d 00 0a124a07 8b13 e703"),
+        batch("03 03000000 4d000000"),
+        struct.pack("<IIQI", 0, 5, 0, 1),
+    ],
+)
 def test_malformed_input_ends_with_one_plain_line(data: bytes) -> None:
     ended = run(data)
     assert ended.returncode != 0
--- a/tests/traces.py
+++ b/tests/traces.py
@@ -35,9 +35,14 @@
 def plain(value: Any) -> Any:
     """A form that is the same in every process, without fields at their default."""
     if dataclasses.is_dataclass(value):
-        return (type(value).__name__, *(
-            (f.name, plain(getattr(value, f.name))) for f in dataclasses.fields(value)
-            if getattr(value, f.name) != f.default))
+        return (
+            type(value).__name__,
+            *(
+                (f.name, plain(getattr(value, f.name)))
+                for f in dataclasses.fields(value)
+                if getattr(value, f.name) != f.default
+            ),
+        )
     if isinstance(value, tuple | list):
         return tuple(plain(item) for item in value)
     return value
@@ -136,8 +141,9 @@
             self.note("stop", attempt.request.id, attempt.number, outcome.name)
             self.loop.timers.after(3_000, lambda: attempt.ended(outcome))
 
-        return SimpleNamespace(stop=stop, set_priority=lambda priority: self.note(
-            "priority", attempt.request.id, priority))
+        return SimpleNamespace(
+            stop=stop, set_priority=lambda priority: self.note("priority", attempt.request.id, priority)
+        )
 
     def probe(self, engine: api.EngineId, done: Callable[[api.Outcome], None]) -> None:
         self.note("probe", engine)
@@ -151,45 +157,80 @@
     """The real core with its gates empty: three classes, tenants, cancels, every outcome, a list that
     changes, another router's death."""
     loop, random = FakeLoop(), Random(11)
-    classes = (api.ServiceClass(500_000, 2_500_000, api.Effect.SAFE),
-               api.ServiceClass(2_000_000, 10_000_000, api.Effect.SAFE, worth=15.0, threads=2),
-               api.ServiceClass(4_000_000, 10_000_000, api.Effect.UNSAFE, worth=15.0, threads=2,
-                                is_load=True))
+    classes = (
+        api.ServiceClass(500_000, 2_500_000, api.Effect.SAFE),
+        api.ServiceClass(2_000_000, 10_000_000, api.Effect.SAFE, worth=15.0, threads=2),
+        api.ServiceClass(4_000_000, 10_000_000, api.Effect.UNSAFE, worth=15.0, threads=2, is_load=True),
+    )
     settings = api.Settings(
-        classes=classes, gateways=2, kind_cores=(8.0,), tick_us=5_000, answer_slack_us=20_000,
-        max_attempts=4, may_cancel=True, may_probe=True, may_tell=True, progress_us=SECOND,
-        max_retry_after_us=500_000, drain_grace_us=SECOND, cold_share=0.31, cold_multiple=3.0,
-        cold_window_us=3_000_000, ramp_us=13_000_000, extra_free=5, extra_share=0.2,
-        extra_window_us=10_000_000)
+        classes=classes,
+        gateways=2,
+        kind_cores=(8.0,),
+        tick_us=5_000,
+        answer_slack_us=20_000,
+        max_attempts=4,
+        may_cancel=True,
+        may_probe=True,
+        may_tell=True,
+        progress_us=SECOND,
+        max_retry_after_us=500_000,
+        drain_grace_us=SECOND,
+        cold_share=0.31,
+        cold_multiple=3.0,
+        cold_window_us=3_000_000,
+        ramp_us=13_000_000,
+        extra_free=5,
+        extra_share=0.2,
+        extra_window_us=10_000_000,
+    )
 
     def note(*what: Any) -> None:
         seconds.note(loop.us, *what)
 
-    made = Core(cast(Any, loop), cast(Any, loop), loop.timers,
-                Noted(Controller(settings, 1), 0, seconds), settings, 60, 1_000_000)
+    made = Core(
+        cast(Any, loop),
+        cast(Any, loop),
+        loop.timers,
+        Noted(Controller(settings, 1), 0, seconds),
+        settings,
+        60,
+        1_000_000,
+    )
     back = ScriptedBack(loop, random, note)
     made.backs = [cast(Any, back)]
     made.tell_peers = lambda body, to: note("tell", body, to)
-    client = SimpleNamespace(answered=lambda request, answer: note(
-        "answer", request.id, type(answer).__name__, answer))
+    client = SimpleNamespace(
+        answered=lambda request, answer: note("answer", request.id, type(answer).__name__, answer)
+    )
     entries = [api.EngineEntry(b"s-%d" % n) for n in range(4)]
     made.tell(api.EngineList(api.ListKind.CACHED, tuple(entries)))
     asked: list[Request] = []
     for number in range(900):
         loop.advance(int(random.expovariate(1 / 12_000)))
         kind = random.choices((0, 1, 2), (85, 10, 5))[0]
-        request = Request("abc"[kind], kind, classes[kind].deadline_us, b"", cast(Any, client),
-                          cast(Any, back), cost_us=int(random.expovariate(1 / 60_000)) or None,
-                          group=random.randrange(17), tenant=random.randrange(3),
-                          size=random.randrange(9_000))
+        request = Request(
+            "abc"[kind],
+            kind,
+            classes[kind].deadline_us,
+            b"",
+            cast(Any, client),
+            cast(Any, back),
+            cost_us=int(random.expovariate(1 / 60_000)) or None,
+            group=random.randrange(17),
+            tenant=random.randrange(3),
+            size=random.randrange(9_000),
+        )
         asked.append(request)
         made.submit(request)
         if random.random() < 0.05:
             made.gone(random.choice(asked[-20:]), cancelled=True)
         if number == 300:
             made.tell(api.FleetSize(1))
-            made.tell(api.EngineList(api.ListKind.DELTA, (dataclasses.replace(
-                entries[0], state=api.EngineState.DRAINING),)))
+            made.tell(
+                api.EngineList(
+                    api.ListKind.DELTA, (dataclasses.replace(entries[0], state=api.EngineState.DRAINING),)
+                )
+            )
         if number == 600:
             made.tell(api.EngineList(api.ListKind.DELTA, (api.EngineEntry(b"s-9", ready_at_us=loop.us),)))
     loop.advance(20 * SECOND)
@@ -198,7 +239,8 @@
 
 
 PLAYS: dict[str, Callable[[Seconds], None]] = {
-    play.__name__: play for play in (one_router, deaths, overload, many, core)}
+    play.__name__: play for play in (one_router, deaths, overload, many, core)
+}
 
 
 def record(name: str) -> Trace:
@@ -208,7 +250,7 @@
 
 
 def compare(name: str, kept: Trace, found: Trace) -> str:
-    """"" where they are the same, else where they part."""
+    """ "" where they are the same, else where they part."""
     for old, new in zip(kept, found, strict=False):
         if old != new:
             return f"{name}: differs first in second {new.partition(':')[0]} of simulated time"
