--- a/deploy/sites/lay.py
+++ b/deploy/sites/lay.py
@@ -37,7 +37,7 @@
 Tables = Sequence[Table]
 
 
-@dataclass
+@dataclass(eq=False)
 class SiteError(Exception):
     """Why a variant can't be laid: the file at fault, the key by its dotted path ("" for the whole file)."""
 
