Count a newcomer's ration as spent for as long as the settings count it

With a window of 15 s what an earlier life spent 12 s ago was dropped, with 4 s what it spent 5 s ago still counted.

Ruled out: the exact ration of the store (slipbay/ledger/tally.py) and what routers tell of themselves (slipbay/run.py, knows) go by the settings.

At fault: the default in slipbay/comeback/shape.py, taken by load_comeback whatever the settings said. Without ration_s the settings' window holds now.

--- a/slipbay/comeback/codec.py
+++ b/slipbay/comeback/codec.py
@@ -42,7 +42,7 @@
     nonce: int
     age_us: int = 0  # of its sender's life, rounded up
     phase: int = 0
-    extras: int = 0  # further attempts of the last 10 s
+    extras: int = 0  # further attempts that its sender's ration still counts
     news: api.Inherited = api.Inherited()  # what this sort carries of it
 
 
--- a/slipbay/comeback/machine.py
+++ b/slipbay/comeback/machine.py
@@ -87,7 +87,7 @@
         plan: Plan | None = None,
         free_extras: float = 0.0,
     ) -> None:
-        """``knows``: what our decisions learned by a time, and their further attempts in the 10 s before."""
+        """``knows``: what our decisions learned by a time, and the further attempts that they count."""
         self.me, self.size, self.started, self.plan = me, size, now, plan or Plan()
         self.phase, self._knows, self._free_extras = Phase.BLANK, knows, free_extras
         self._nonce = seed % 2**16
--- a/slipbay/comeback/merge.py
+++ b/slipbay/comeback/merge.py
@@ -32,7 +32,7 @@
     costs: int = 60 * SECOND
     ill: int = 5 * SECOND
     groups: int = 60 * SECOND
-    ration: int = 10 * SECOND
+    ration: int = 10 * SECOND  # of emulated fleets; a router's own is the window in its settings
 
 
 @dataclass(frozen=True, slots=True)
--- a/slipbay/comeback/settings.py
+++ b/slipbay/comeback/settings.py
@@ -31,4 +31,4 @@
         from slipbay.comeback.shape import Shape
     except ImportError as problem:
         raise ConfigError(f"{path.name}: want the extra packages of slipbay[fleet]: {problem}") from None
-    return convert(data, Shape, path.name).plan()
+    return convert(data, Shape, path.name).plan(config.settings.extra_window_us)
--- a/slipbay/comeback/shape.py
+++ b/slipbay/comeback/shape.py
@@ -21,7 +21,7 @@
     costs_s: Seconds = 60
     ill_s: Seconds = 5
     homes_s: Seconds = 60
-    ration_s: Seconds = 10
+    ration_s: Seconds | None = None  # as long as the settings count further attempts
 
 
 class Shape(Struct, forbid_unknown_fields=True, frozen=True):
@@ -34,7 +34,8 @@
     answer_ms: Annotated[float, Meta(ge=1, le=1_000)] = Plan.answer_us / 1000
     ages: AgesShape = AgesShape()
 
-    def plan(self) -> Plan:
+    def plan(self, ration_window_us: int) -> Plan:
+        """``ration_window_us``: over which the settings count further attempts."""
         ages = self.ages
         return Plan(
             held_share=self.held_share,
@@ -49,7 +50,7 @@
                 costs=_us(ages.costs_s),
                 ill=_us(ages.ill_s),
                 groups=_us(ages.homes_s),
-                ration=_us(ages.ration_s),
+                ration=ration_window_us if ages.ration_s is None else _us(ages.ration_s),
             ),
         )
 
--- a/tests/test_comeback.py
+++ b/tests/test_comeback.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from dataclasses import replace
 from pathlib import Path
 from statistics import median_low
 from types import SimpleNamespace
@@ -328,6 +329,24 @@
         assert name in merged.dropped or age + SECOND <= getattr(ages, name)
 
 
+@pytest.mark.parametrize(
+    ("window", "text", "age", "counts"),
+    [(15, "", 12, True), (4, "", 3, True), (4, "", 5, False), (15, "ages = {ration_s = 2}", 3, False)],
+)
+def test_a_ration_counts_as_spent_for_as_long_as_the_settings_count_it(
+    tmp_path: Path, window: int, text: str, age: int, counts: bool
+) -> None:
+    counted = replace(controller().settings, extra_window_us=window * SECOND)
+    config: Any = SimpleNamespace(settings=counted)
+    file = tmp_path / "comeback.toml"
+    file.write_text(f"enabled = true\n{text}\n")
+    plan = load_comeback(config, {"SLIPBAY_COMEBACK": str(file)}, None)
+    machine = Comeback(0, 1, 1, 0, lambda now: (GOOD, 0), plan, free_extras=8.0)
+    machine.recall(0, Told(GOOD, 3, age * SECOND))
+    machine.tick(0)
+    assert machine.merged is not None and machine.merged.extras == 3 * counts
+
+
 class UntilFull(Rig):
     """Ends when the last life of each told of full service, however long a busy machine takes."""
 
