Tell a newcomer's refused clients no time where the settings allow none

Seen in a search for what only one deployment's settings hide: where policyLimits.retryAfter is false (max_retry_after_us 0) a coming back router told refused clients to return after up to 2.1 s, where 0 is 'no advice'. It does not show where the settings name a time, as both known sites under this part do.

Ruled out: the decisions, the core, the scatterer and the gate of quotas take the settings' figure as it is.

At fault: 'or 2**62' in slipbay/comeback/speaker.py, Newcomer.admit. The test fails without the mend for settings without a time (2107139 us where 0 is wanted) and passes for those with one (run so).

--- a/slipbay/comeback/speaker.py
+++ b/slipbay/comeback/speaker.py
@@ -95,7 +95,7 @@
         if self._threads + wanted > machine.threads(now, sum(self._cores.values())):
             wait = machine.refuse(now, self._settings.classes[request.service_class].aim_us)
             if wait is not None:
-                return min(wait, self._settings.max_retry_after_us or 2**62)
+                return min(wait, self._settings.max_retry_after_us)  # 0: clients are told no time
         self._held[request.id] = wanted
         self._threads += wanted
         return None
--- a/tests/test_comeback.py
+++ b/tests/test_comeback.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from statistics import median_low
 from types import SimpleNamespace
-from typing import Any
+from typing import Any, cast
 
 import pytest
 from click.testing import CliRunner
@@ -26,6 +26,7 @@
 from slipbay.comeback.merge import MOST_ILL, SPAN, Ages, Told, merge
 from slipbay.comeback.metrics import exposition
 from slipbay.comeback.settings import load_comeback
+from slipbay.comeback.speaker import Newcomer
 from slipbay.config import ConfigError
 from slipbay.emulator.parties import Routers
 from slipbay.emulator.restarts import Restarts
@@ -347,6 +348,28 @@
     assert machine.merged is not None and machine.merged.extras == 3 * counts
 
 
+@pytest.mark.parametrize("most", [0, SECOND // 4])
+def test_a_refusal_of_a_newcomer_names_no_time_beyond_what_the_settings_let_clients_heed(most: int) -> None:
+    patient = api.ServiceClass(20 * SECOND, 40 * SECOND, api.Effect.SAFE)
+    core, timers = (
+        SimpleNamespace(gates=[], tell=lambda event: None),
+        SimpleNamespace(after=lambda *when: None),
+    )
+    newcomer = Newcomer(
+        Plan(),
+        api.Settings((patient,), gateways=4, max_retry_after_us=most),
+        1,
+        cast(Any, core),
+        cast(Any, timers),
+        lambda: SECOND,
+        lambda: (GOOD, 0),
+        lambda: 0,
+    )
+    waits = [newcomer.admit(cast(Any, SimpleNamespace(id=n, service_class=0))) for n in range(8)]
+    refused = [wait for wait in waits if wait is not None]
+    assert refused and max(refused) == most
+
+
 class UntilFull(Rig):
     """Ends when the last life of each told of full service, however long a busy machine takes."""
 
