--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+import tomllib
 from pathlib import Path
 from typing import Any
 
@@ -11,7 +12,7 @@
 from loopback import HOST, SETTINGS
 from mysql_standins import mysql_file
 
-from slipbay.config import MYSQL_FILE, ConfigError, from_json, load, load_mysql
+from slipbay.config import DEPLOY, MYSQL_FILE, STORE_FILE, ConfigError, from_json, load, load_mysql
 
 GOOD: dict[str, Any] = {
     "name": "n0",
@@ -94,6 +95,16 @@
         load_mysql(config, file)
 
 
+def test_files_of_the_parts_are_off_and_name_nothing_of_a_deployment() -> None:
+    files = [file for file in DEPLOY.glob("*.toml") if file.name != "balancer.toml"]
+    assert MYSQL_FILE in files and STORE_FILE in files
+    names = ("classes", "deadline_ms", "estimates", "users", "spiffe", "engines", "scatter", "quotas")
+    for file in files:
+        table = tomllib.loads(file.read_text())
+        assert table["enabled"] is False, file.name
+        assert not any(table.get(name) for name in names), f"{file.name}: classes and names are examples only"
+
+
 def test_the_mysql_front_is_off_on_the_platform() -> None:
     config = from_json(json.dumps(GOOD), {})
     assert MYSQL_FILE.is_file() and load_mysql(config, MYSQL_FILE) is None
