End clients' connections without a reset, and hear cancels of those who read nothing

Found by asking what may come between two lines:

1. hang_up (stream.py) shut the sending side down and closed a turn later. What the client sent in between stood unread at the close, so the system reset the connection and threw away what it had not sent yet of the answer before. Now our side is ended, what comes is read and dropped, and the connection closes with the client's own end, or after 250 ms. Those that linger hold at most 12 descriptors of the reserve and no client's room. MySQL's last words and too long lines end the same way. 2. Accepted connections had no TCP_NODELAY (a probe: 0 on a client's, 1 on an engine's): asyncio sets it only on sockets whose protocol number is IPPROTO_TCP, which accepted ones don't have. It is set in Server._take. 3. A connection was not read from while 64 KB of answers waited, so a cancel was not heard, nor an end before all of that was sent: eof_received let the transport flush first. Clients are read from up to 2 MB of answers, as many as can be open, and an end gives up their requests at once. 4. On the way out a connection closed in the middle of a request that came in pieces. Now its rest is waited for, and answered. 5.

Ruled out: engine connections have TCP_NODELAY (Dial sets it); bytes that stand unread at the look before a close (Stream.unread) keep it open already.

--- a/slipbay/front/jsonrpc.py
+++ b/slipbay/front/jsonrpc.py
@@ -103,7 +103,8 @@
             lines = self._lines.feed(data)
         except LineTooLong:
             log("client", "a line is too long; the connection is closed")
-            self.close()
+            self.departed()
+            self.hang_up()
             return
         for line in lines:
             if line:
@@ -198,8 +199,7 @@
                 self.write(jsonrpc.error(id, jsonrpc.FAILED, reason))
         self.settled()
 
-    def ended(self) -> None:
-        super().ended()
+    def departed(self) -> None:
         for request in self._open.values():
             self._front.gone(request)
         self._open.clear()
--- a/slipbay/front/mysql.py
+++ b/slipbay/front/mysql.py
@@ -208,6 +208,10 @@
             len(data) for statement in self._statements.values() for data in statement.long_data.values()
         )
 
+    @property
+    def mid_message(self) -> bool:
+        return bool(self._packets.held)
+
     # Bytes
 
     def opened(self) -> None:
@@ -251,7 +255,7 @@
             if self._tls is not tls:  # what follows on the connection is TLS
                 self._read(self._packets.rest())
                 return
-            if self.transport is None or self.transport.is_closing():
+            if self.closing:
                 return
 
     def _send(self, payloads: list[bytes], sequence: int) -> None:
@@ -273,7 +277,8 @@
     def _last_word(self, sequence: int, code: int, text: str) -> None:
         log("client", text)
         self._error(sequence, code, text)
-        self.close()
+        self.departed()
+        self.hang_up()
 
     # Login
 
@@ -496,8 +501,7 @@
             self._last_word(0, mysql.ER_MALFORMED_PACKET, str(problem))
         self.settled()
 
-    def ended(self) -> None:
-        super().ended()
+    def departed(self) -> None:
         self._waiting.clear()
         if self._request is not None:
             request, self._request = self._request, None
--- a/slipbay/front/server.py
+++ b/slipbay/front/server.py
@@ -20,6 +20,9 @@
 RETRY_US = 20_000  # until the next look for room
 BACKLOG = 512  # of clients that the system holds until we take them
 AT_ONCE = 32  # taken in one turn, so that those taken are read before many more are
+LINGER_US = 250_000  # that a client has to end its side of a connection that we ended
+MOST_LINGERING = 12  # of these that hold descriptors of the reserve, and take up no client's room
+MOST_UNSENT = 2 * 1024 * 1024  # bytes of answers on one connection: as many as can be open, at their longest
 
 
 class Loss(IntEnum):
@@ -40,6 +43,7 @@
         self.connections: set[ClientConnection] = set()  # from the moment they are taken from the system
         self._listeners: dict[socket.socket, Callable[[], ClientConnection]] = {}
         self._relief: Timer | None = None  # there is no room: those who come wait with the system
+        self.lingering: set[ClientConnection] = set()  # those of which we have ended our side
         self.leaving = False  # the process is to end: connections close once nothing is open on them
         self.emptied: Callable[[], None] = lambda: None
         timers.after(SWEEP_US, self._sweep)
@@ -104,6 +108,8 @@
             self._hold(RETRY_US)
             return False
         sock.setblocking(False)
+        # asyncio does so itself only for sockets that were made with the protocol's number, which these are not
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = self._listeners[listener]()
         connection.sock = sock
         self.connections.add(connection)
@@ -121,7 +127,8 @@
     @property
     def has_room(self) -> bool:
         """Whether one more client may be taken."""
-        return len(self.connections) < self._limits.client_sockets
+        staying = len(self.connections) - min(len(self.lingering), MOST_LINGERING)
+        return staying < self._limits.client_sockets
 
     def _hold(self, wait_us: int) -> None:
         """Take none until one has left, or until the look for room that follows."""
@@ -135,7 +142,7 @@
         self._relief = self._timers.after(RETRY_US, self._relieve)
         if self.has_room:
             self._go_on()
-        elif not any(connection.going for connection in self.connections):
+        elif len(self.lingering) < MOST_LINGERING and not any(c.going for c in self.connections):
             self.let_go()
 
     def _go_on(self) -> None:
@@ -164,9 +171,23 @@
 
     def joined(self, connection: ClientConnection) -> None:
         self.connections.add(connection)
+        if self.leaving:
+            connection.settled()
+
+    def lingers(self, connection: ClientConnection) -> None:
+        """We have ended our side of a connection; the client has so long to end its own."""
+        self.lingering.add(connection)
+        self._timers.after(LINGER_US, lambda: self._finish(connection))
+
+    def _finish(self, connection: ClientConnection) -> None:
+        if connection.unsent and not connection.lost:
+            self._timers.after(LINGER_US, lambda: self._finish(connection))  # the sweep cuts off slow readers
+        else:
+            connection.close()
 
     def left(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
+        self.lingering.discard(connection)
         self._go_on()
         if self.leaving and not self.connections:
             self.emptied()
@@ -179,7 +200,7 @@
                 continue
             if connection.unsent:
                 connection.abort()
-            elif not connection.unread():
+            elif not (connection.half_closed or connection.unread()):
                 connection.hang_up()
         self.bound_memory()
         self._timers.after(SWEEP_US, self._sweep)
@@ -220,6 +241,11 @@
         """Bytes of a message that has not come whole."""
         raise NotImplementedError
 
+    @property
+    def mid_message(self) -> bool:
+        """Whether a message has come in part."""
+        return bool(self.unparsed)
+
     def loss(self, now: int) -> Loss:
         """What letting it go would cost its client, if no request is open on it."""
         if self.unparsed:
@@ -242,10 +268,21 @@
         self.spoke, self.idle_us = True, idle_us
 
     def opened(self) -> None:
+        assert self.transport is not None
+        self.transport.set_write_buffer_limits(high=MOST_UNSENT)
         self.server.joined(self)
 
     def ended(self) -> None:
         self.server.left(self)
+        self.departed()
+
+    def eof_received(self) -> None:
+        """Told before the transport closes, which it does only once the client has read all."""
+        self.departed()
+
+    def departed(self) -> None:
+        """Its client has gone: nobody wants what is open on it any more. May be told twice."""
+        raise NotImplementedError
 
     def buffer_updated(self, nbytes: int) -> None:
         super().buffer_updated(nbytes)
@@ -253,13 +290,20 @@
             self.settled()
 
     def settled(self) -> None:
-        """A request was answered; on the way out the connection closes with its last one."""
+        """A request was answered; on the way out the connection closes with its last one, but not in the
+        middle of a message: the rest of a slow writer's is on its way, and gets an answer too."""
         self.touch()
-        if self.server.leaving and not self.busy and not self.unread():
+        if self.server.leaving and not (self.closing or self.busy or self.mid_message or self.unread()):
             self.hang_up()
 
+    def hang_up(self) -> None:
+        """Close, without a reset of what the client has not read yet."""
+        self.half_close()
+        self.server.lingers(self)
+
     def flow_changed(self) -> None:
-        """A client that does not read its answers gets to send no further requests meanwhile."""
+        """A client that reads none of its answers gets to send no further requests meanwhile. Until then it
+        is read from, as it may cancel or leave."""
         if self.transport is not None and not self.transport.is_closing():
             if self.congested:
                 self.transport.pause_reading()
--- a/slipbay/stream.py
+++ b/slipbay/stream.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import errno
 import socket
 from collections.abc import Callable
@@ -29,17 +28,22 @@
     lost = False
     ours = False  # it was we who closed it
     congested = False  # more bytes wait to be written than the transport likes
+    half_closed = False  # we have ended our side; what still comes is read and dropped
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        self.opened()
+        if self.half_closed:
+            self.half_close()
+        else:
+            self.opened()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return _VIEW
 
     def buffer_updated(self, nbytes: int) -> None:
-        self.received(bytes(_VIEW[:nbytes]))
+        if not self.half_closed:
+            self.received(bytes(_VIEW[:nbytes]))
 
     def connection_lost(self, exc: Exception | None) -> None:
         if not self.lost:
@@ -55,12 +59,12 @@
         self.flow_changed()
 
     def write(self, data: bytes) -> None:
-        if self.transport is not None and not self.lost and not self.transport.is_closing():
+        if self.transport is not None and not self.lost and not self.closing:
             self.transport.write(data)
 
     @property
     def closing(self) -> bool:
-        return self.transport is None or self.transport.is_closing()
+        return self.transport is None or self.transport.is_closing() or self.half_closed
 
     @property
     def unsent(self) -> int:
@@ -92,13 +96,22 @@
         if self.transport is not None:
             self.transport.close()
 
-    def hang_up(self) -> None:
-        """Close, and let the other side know at once: the transport does so a turn later, which is long in a
-        busy process, and what the other side sends meanwhile would be lost."""
-        if self.sock is not None and not self.closing and not self.unsent:
-            with contextlib.suppress(OSError):
-                self.sock.shutdown(socket.SHUT_WR)
-        self.close()
+    def half_close(self) -> None:
+        """End our side once everything written has been sent, and drop what comes until the other side ends
+        its own, which closes the connection. A close over bytes that we have not read would reset it, and
+        take with it what the other side has not received yet."""
+        self.ours = self.half_closed = True
+        if self.transport is None:
+            return  # it is not up yet; ``connection_made`` goes on
+        if not self.transport.can_write_eof():  # TLS has its own notice of the end
+            self.transport.close()
+            return
+        try:
+            self.transport.write_eof()
+        except OSError:  # the other side has reset it
+            self.transport.abort()
+        else:
+            self.transport.resume_reading()
 
     def abort(self) -> None:
         self.ours = True
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -87,6 +87,15 @@
     def get_write_buffer_size(self) -> int:
         return 0
 
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None: ...
+
+    def can_write_eof(self) -> bool:
+        return True
+
+    def write_eof(self) -> None:
+        """The other side ends as well, as soon as it hears of it."""
+        self.loop.call_soon(self.close)
+
     def close(self) -> None:
         if not self.closing:
             self.closing = True
