Take no late second answer for the next query's, and send nothing for who has left

A second answer to a call that comes some ms after the first, when the connection already carries the next query's POST, was taken for that one's (back/http.py, _responded; _spoilt sees only wrong page numbers): rows of another statement were served, and a copied 503 with X-No-Effect 'proved' that a running query never ran. An answer that comes within 50 ms after one to another caller on the same connection now proves nothing: the next one is waited for, and the query is asked for elsewhere, as an engine gives a good end again. Connections that have rested are used first, so that this is rare. 2. Any answer ended an attempt that waited for its DELETE's (204). A copy did so too, and the next attempt could begin beside the running one. 3. A client that left while its connection to the engine came up: the POST was written before the decisions had called the attempt off (_post). 4. The window for a repeat of a keyed class was asked at the decision, up to a connect time before the first byte of the repeat. Attempt.may_leave asks again, for both wires, when the connection is up.

Ruled out: half a line on a resting connection retires it already; a copy of a further page has the wrong number and is seen; a copied 202 changes nothing.

tests/test_engine_races.py forces each on real sockets; run without each mend, its test fails (and the one for half a line, without the line that is there).

--- a/slipbay/back/http.py
+++ b/slipbay/back/http.py
@@ -10,7 +10,7 @@
 
 from martenkeel import interface as api
 from martenkeel.interface import EngineId, Outcome
-from slipbay.back.pool import ANSWER_US, HOLD_US, LOST_US, Pool, PooledStream, Sockets, Trouble, Wait
+from slipbay.back.pool import ANSWER_US, HOLD_US, LOST_US, REST_US, Pool, PooledStream, Sockets, Trouble, Wait
 from slipbay.config import Config
 from slipbay.core.router import Attempt, Exchange, Host, Inquiry
 from slipbay.core.timers import Timer, Timers
@@ -23,6 +23,7 @@
 PROMPT_US = 60_000  # after so long we ask beside a first call whose client will not wait long
 PROMPT_SHARE = 12  # that is, where this is more than such a part of the time that the client gave
 RETRY_US = 250_000
+
 PROMPT_RETRIES = 3  # looks that follow a spoilt answer at once; those after them wait
 MOST_RESULT_BYTES, MOST_SHEETS = 64 * 1024, 1000  # a result has 48,000 bytes at most
 NOTES = {"done": api.NoteKind.SHARE_DONE, "spills": api.NoteKind.SPILLS, "waits": api.NoteKind.WAITS}
@@ -31,6 +32,10 @@
 class HttpConnection(PooledStream):
     """One call at a time."""
 
+    answered_at = 0  # when its last answer had come whole
+    caller: object = None  # whose call it carries or carried last
+    doubtful = False  # an answer now may be the second one to a call of another caller
+
     def __init__(self, pool: Pool[PooledStream]) -> None:
         super().__init__(pool)
         self._responses = http1.Responses()
@@ -50,10 +55,17 @@
         responded: Callable[[http1.Response], None],
         cut: Callable[[], None],
         due: int = 0,
+        caller: object = None,
     ) -> None:
         self._responded, self._cut, self.due = responded, cut, due
+        self.doubtful = caller is not self.caller and bool(self.answered_at)
+        self.caller = caller
         self.write(request)
 
+    def expect(self, responded: Callable[[http1.Response], None], cut: Callable[[], None]) -> None:
+        """What came was no answer to the call that it carries: that one may follow."""
+        self._responded, self._cut, self.doubtful = responded, cut, False
+
     def abandon(self, due: int) -> None:
         """Its answer matters to nobody; with it the connection is free again."""
         self._responded, self._cut, self.due = self.done_with, None, due
@@ -77,6 +89,9 @@
             self.abort()  # nobody asked for it
         elif response is not None:
             self._responded = self._cut = None
+            now = self.pool.now()
+            self.doubtful &= now - self.answered_at < REST_US
+            self.answered_at = now
             responded(response)
 
     def ended(self) -> None:
@@ -132,6 +147,11 @@
 
     def _post(self, connection: HttpConnection) -> None:
         request, now = self._attempt.request, self._back.now()
+        if not self._attempt.may_leave():
+            self._wait = None
+            connection.release()
+            self._finish(self._stopping or Outcome.MOOT)
+            return
         left = request.deadline - now
         headers = [
             ("X-Hop-Id", request.name),
@@ -160,7 +180,9 @@
     def _call(self, connection: HttpConnection, request: bytes) -> None:
         self._main, self._hung_up = connection, False
         self._before, self._asked = self._asked, self._back.now()
-        connection.call(request, lambda response: self._responded(connection, response), self._cut)
+        connection.call(
+            request, lambda response: self._responded(connection, response), self._cut, caller=self
+        )
         self._asked = self._back.exact()  # we may have stood still since this turn began
         if self._check is None or self._sheets:  # pages come at once, long before the check on the news
             if self._check is not None:
@@ -218,6 +240,9 @@
     # News
 
     def _responded(self, connection: HttpConnection, response: http1.Response) -> None:
+        if connection.doubtful and response.status != 202:
+            self._doubt(connection)
+            return
         if self._spoilt(response):
             log(
                 "engine",
@@ -255,6 +280,14 @@
             else:
                 self._finish(self._stopping or Outcome.ERROR)
 
+    def _doubt(self, connection: HttpConnection) -> None:
+        """The answer may be the second one to an earlier call on this connection, for another query: wait for
+        the next one here, and ask elsewhere, as an engine gives a good end again."""
+        log("engine", "an answer came too soon after another; asking again", engine=self._pool.engine)
+        connection.expect(lambda response: self._responded(connection, response), self._cut)
+        if self._wait is None and self._stopping is None:
+            self._wait = self._pool.acquire(self._ask, self._unreachable)
+
     def _spoilt(self, response: http1.Response) -> bool:
         """Whether it is no answer that an engine makes to our call: a copy of another, or a page cut off."""
         if response.status != 200:
@@ -393,6 +426,9 @@
             return
 
         def responded(response: http1.Response) -> None:
+            if response.status != 204:  # the second answer to an earlier call, and no word on this one
+                connection.expect(responded, cut)
+                return
             late.cancel()
             connection.done_with(response)
             self._finish(self._stopping or Outcome.CANCELLED)
--- a/slipbay/back/mysql.py
+++ b/slipbay/back/mysql.py
@@ -233,6 +233,9 @@
         if connection.lost or connection.stale():
             self._finish(Outcome.CONNECT_FAILED)  # nothing was sent on it
             return
+        if not self.attempt.may_leave():
+            self._finish(Outcome.MOOT)
+            return
         reader = mysql.ResultReader()
         self._ran, self._thread = True, connection.thread
         connection.call(payloads, reader, lambda: self._answered(connection, reader.payloads), self._cut)
--- a/slipbay/back/pool.py
+++ b/slipbay/back/pool.py
@@ -22,6 +22,7 @@
 QUIET_US = HOLD_US + 100_000  # without a word for so long, an engine may be away
 LOST_US = UNASKED_US + HOLD_US + 100_000  # after this nothing of a query that we could not ask for runs on
 FORGET_US = 60_000_000  # longer than any request waits: nobody asks then for a pool of an engine that is gone
+REST_US = 50_000  # after an answer, in which an idle connection may still bring what nobody asked for
 KEEP_SHARE = 3  # an idle connection is closed after this part of the time after which engines close it
 
 
@@ -122,7 +123,7 @@
     ) -> None:
         self.engine, self.address = engine, address
         self._make, self._dialer, self._timers = make, dialer, timers
-        self._sockets, self._now = sockets, now
+        self._sockets, self.now = sockets, now
         self._connect_us, self._keep_us = connect_us, idle_us // KEEP_SHARE
         self.idle: deque[C] = deque()
         self._held: set[C] = set()  # connections that count, idle or not
@@ -139,7 +140,7 @@
         """
         wait = Wait(done, failed)
         while self.idle and not fresh:
-            stream = self.idle.pop()  # the last used: the others may grow old
+            stream = self._next_idle()
             if stream.stale():
                 stream.abort()
                 continue
@@ -153,6 +154,17 @@
         self._open(wait)
         return wait
 
+    def _next_idle(self) -> C:
+        """The last used of those that have rested, as the others may grow old; else the one that rested
+        for longest."""
+        rested_since = self.now() - REST_US
+        for place in range(len(self.idle) - 1, 0, -1):
+            if self.idle[place].idle_since <= rested_since:
+                stream = self.idle[place]
+                del self.idle[place]
+                return stream
+        return self.idle.popleft()
+
     def _open(self, wait: Wait[C]) -> None:
         stream = self._make(self)
         wait.stream, wait.dials = stream, wait.dials + 1
@@ -201,7 +213,7 @@
         if self.gone:
             stream.close()
             return
-        stream.idle_since = self._now()
+        stream.idle_since = self.now()
         self.idle.append(stream)
 
     def discard(self, stream: C) -> None:
@@ -218,7 +230,7 @@
 
     def renew(self, address: Address, gone: bool) -> None:
         """A new process stands behind the engine's name, or none: the idle connections are of no use."""
-        self.address, self.gone, self._gone_at = address, gone, self._now()
+        self.address, self.gone, self._gone_at = address, gone, self.now()
         self.close_idle()
 
     def close_idle(self) -> None:
@@ -229,21 +241,21 @@
     def sweep(self) -> None:
         """Close what has been idle for long, before the engine does so in the middle of a call, and give up
         calls that a silent engine never answers: their connections would count for ever."""
-        for stream in [stream for stream in self._held if stream.due and self._now() > stream.due]:
+        for stream in [stream for stream in self._held if stream.due and self.now() > stream.due]:
             stream.abort()
-        while self.idle and self._now() - self.idle[0].idle_since > self._keep_us:
+        while self.idle and self.now() - self.idle[0].idle_since > self._keep_us:
             self.idle.popleft().close()
 
     def heard(self) -> None:
         """A sign of life, be it the end of a connection."""
-        if self._now() - self._heard_at > QUIET_US:
-            self._away_until = self._now() + LOST_US
-        self._heard_at = self._now()
+        if self.now() - self._heard_at > QUIET_US:
+            self._away_until = self.now() + LOST_US
+        self._heard_at = self.now()
 
     @property
     def was_away(self) -> bool:
         """Whether it may have been away a moment ago, and still take up what it was sent meanwhile."""
-        return self._now() < self._away_until
+        return self.now() < self._away_until
 
     @property
     def up(self) -> bool:
@@ -253,7 +265,7 @@
     @property
     def unused(self) -> bool:
         """Whether its engine is gone and nothing of ours is left with it."""
-        return self.gone and not self._held and self._now() - self._gone_at > FORGET_US
+        return self.gone and not self._held and self.now() - self._gone_at > FORGET_US
 
     def close(self) -> None:
         self._sockets.pools.remove(self)  # type: ignore[arg-type]
--- a/slipbay/core/router.py
+++ b/slipbay/core/router.py
@@ -172,6 +172,7 @@
     attempts: int = 0
     out: dict[int, Attempt] = field(default_factory=dict)
     guard: Timer | None = None
+    may_run_since: int | None = None  # when the first attempt left that may have run
 
 
 class Attempt:
@@ -182,6 +183,12 @@
         self.exchange: Exchange | None = None
         self.limit: Timer | None = None
         self.over = False
+        self.leave_by = core.leave_by(request)
+
+    def may_leave(self) -> bool:
+        """Whether its first byte may still go out. Backs ask once a connection is up, as the client may have
+        left, or the time for a repeat have run out, since the decisions sent it."""
+        return not self.request.over and self._core.clock.now() < self.leave_by
 
     def ended(self, outcome: Outcome, result: object = None) -> None:
         """Its one end. After it nothing of this attempt runs on any engine."""
@@ -349,6 +356,8 @@
             self.guardian.attempt_ended(attempt, outcome, result)
         if request.watcher is not None:
             request.watcher.ended(attempt, outcome)
+        if not outcome.proves_unrun and request.may_run_since is None:
+            request.may_run_since = attempt.sent
         if outcome is Outcome.OK:
             self._answer(request, Served(result))
         self.tell(
@@ -433,6 +442,14 @@
             request.watcher.left(attempt)
         attempt.exchange = request.back.start(attempt)
 
+    def leave_by(self, request: Request) -> int:
+        """Until when an attempt may leave. Engines drop a repeat of what may have run within a window only,
+        which counts from the first byte of the first."""
+        spec = self.settings.classes[request.service_class]
+        if request.may_run_since is None or spec.effect is not api.Effect.KEYED:
+            return request.deadline
+        return min(request.deadline, request.may_run_since + spec.dedup_window_us)
+
     def _stop(self, attempt: Attempt, outcome: Outcome) -> None:
         if attempt.exchange is not None and not attempt.over:
             attempt.exchange.stop(outcome)
--- a/tests/exchange_models.py
+++ b/tests/exchange_models.py
@@ -87,6 +87,9 @@
     def permit(self, wire: str, thread: int, go: Callable[[], None]) -> None:
         go()
 
+    def may_leave(self) -> bool:
+        return not self.request.over
+
     def noted(self, kind: object, value: float) -> None:
         assert not self.ends
 
--- /dev/null
+++ b/tests/test_engine_races.py
@@ -0,0 +1,171 @@
+"""Crossings on engines' connections, forced on real sockets: second answers, halves of lines, clients that
+leave while a connection comes up, repeats whose time runs out meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import copy
+from collections.abc import Callable
+
+import pytest
+from loopback import SETTINGS, HttpCall, JsonClient, Loopback, StandInEngine, http_answer, run, until
+
+from slipbay.back import http
+from slipbay.back.http import HttpConnection
+
+FIRST, SECOND = b"first\tx\ty\n", b"second\tx\ty\n"
+
+
+async def served(client: JsonClient, sql: str) -> bytes:
+    client.query(sql=sql)
+    return base64.b64decode((await client.answer())["result"]["data"])
+
+
+def when_a_connection_comes_up(monkeypatch: pytest.MonkeyPatch, action: Callable[[], None]) -> None:
+    """Call ``action`` once, after a dial has come up and before its connection is used."""
+    original = HttpConnection.opened
+
+    def opened(self: HttpConnection) -> None:
+        monkeypatch.setattr(HttpConnection, "opened", original)
+        action()
+        original(self)
+
+    monkeypatch.setattr(HttpConnection, "opened", opened)
+
+
+@pytest.mark.parametrize(
+    "late",
+    [
+        http_answer(200, FIRST, X_Sheets="1"),
+        http_answer(500),
+        http_answer(503, X_No_Effect="1"),
+        http_answer(504, X_No_Effect="1"),
+    ],
+)
+def test_a_second_answer_some_ms_late_is_not_taken_for_the_next_query_s(
+    late: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against 'served' with another's rows, and against a proof that nothing ran where it runs: the
+    copy of an answer stands before the answer to the next call on its connection."""
+    monkeypatch.setattr(http, "REST_US", 60_000_000)  # whatever the machine does between the two queries
+
+    async def script(call: HttpCall, writer: asyncio.StreamWriter) -> bytes | None:
+        if call.method == "GET" or call.body != b"SELECT 2":
+            return http_answer(200, SECOND if call.method == "GET" else FIRST, X_Sheets="1")
+        writer.write(late)
+        return http_answer(200, SECOND, X_Sheets="1")
+
+    async def test() -> None:
+        engine = StandInEngine(script)
+        async with Loopback(engine) as net:
+            client = await net.client()
+            assert await served(client, "SELECT 1") == FIRST
+            assert await served(client, "SELECT 2") == SECOND
+            assert len(engine.named("POST")) == 2
+
+    run(test)
+
+
+def test_a_second_answer_does_not_stand_for_the_answer_to_a_delete() -> None:
+    """Guards against an attempt that is held to be over, so that another begins beside it."""
+    writers: list[asyncio.StreamWriter] = []
+
+    async def script(call: HttpCall, writer: asyncio.StreamWriter) -> bytes | None:
+        if call.method != "DELETE":
+            return http_answer(202)
+        writer.write(http_answer(202))
+        writers.append(writer)
+        await asyncio.Event().wait()  # the DELETE's own answer comes when the test says so
+        return None
+
+    async def test() -> None:
+        engine = StandInEngine(script)
+        async with Loopback(engine) as net:
+            client = await net.client()
+            client.query("report", limit=20_000)
+            await until(lambda: bool(engine.named("GET")))
+            client.cancel(1)
+            await until(lambda: bool(writers))
+            client.send("alive")
+            await client.answer()  # the copy has been read: it was written before
+            assert net.router.core.requests
+            writers[0].write(http_answer(204))
+            await until(lambda: not net.router.core.requests)
+
+    run(test)
+
+
+def test_half_a_line_from_an_engine_retires_a_resting_connection() -> None:
+    async def test() -> None:
+        engine = StandInEngine()
+        async with Loopback(engine) as net:
+            client = await net.client()
+            await served(client, "SELECT 1")
+            (pool,) = net.router.back._pools.values()
+            await until(lambda: bool(pool.idle))
+            engine.writers[0].write(b"HTTP/1.1 2")
+            await until(lambda: not pool.idle)
+            await served(client, "SELECT 2")
+            assert len(engine.writers) == 2 and len(engine.named("POST")) == 2
+
+    run(test)
+
+
+def test_a_client_that_leaves_while_a_connection_comes_up_has_nothing_sent_for_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The end of the client is read after the dial was begun and before the decisions hear of it."""
+
+    async def test() -> None:
+        engine = StandInEngine()
+        async with Loopback(engine) as net:
+            client = await net.client()
+
+            def leave() -> None:
+                (connection,) = net.router.server.connections
+                connection.eof_received()
+
+            when_a_connection_comes_up(monkeypatch, leave)
+            client.query()
+            await until(lambda: bool(engine.writers))
+            await until(lambda: not net.router.core.requests)
+            client.send("alive")
+            await client.answer()
+            assert not engine.calls
+
+    run(test)
+
+
+def test_a_repeat_does_not_leave_after_the_time_in_which_engines_drop_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a second run: the window counts from the first byte of the first attempt to the first of
+    the repeat, and the connection for the repeat came up late."""
+    settings = copy.deepcopy(SETTINGS)
+    settings["profiles"][2] |= {"effect": "dedup", "windowUs": 2_000_000, "keyScope": "all"}
+
+    async def break_off(call: HttpCall, writer: asyncio.StreamWriter) -> bytes | None:
+        return http_answer(500)
+
+    async def test() -> None:
+        engines = [StandInEngine(break_off), StandInEngine(break_off)]
+        net = Loopback(*engines)
+        net.settings = settings
+        async with net:
+            client = await net.client()
+
+            def stand_still() -> None:
+                net.router.clock._offset += 2_000_000
+                net.router.clock._now = None
+
+            def before_the_repeat() -> None:
+                when_a_connection_comes_up(monkeypatch, stand_still)
+
+            when_a_connection_comes_up(monkeypatch, before_the_repeat)
+            client.query("ticket-load", limit=20_000)
+            answer = await client.answer()
+            assert answer["error"]["code"] in (-32000, -32002)
+            assert sum(len(engine.named("POST")) for engine in engines) == 1
+
+    run(test)
