Answer all that is open shortly before the platform may kill an ending router

Server.leave waited for the longest deadline as it is (run.py, _leave).

Ruled out: ending later changes nothing, as the time is the platform's; the core's guard answers at deadlines only.

--- a/martenkeel/decide.py
+++ b/martenkeel/decide.py
@@ -96,6 +96,9 @@
                     self.inherit(event, 1 / LEARN)
                 case api.ComingBack():
                     self.line.follow(now, event)
+                case api.Ending():
+                    for open_query in list(self.queries.values()):
+                        self.answer(open_query, now)
                 case api.FleetSize(gateways):  # shares follow the living; turns keep to the numbers of all
                     self.gateways = gateways
                 case api.TimerFired(token) if token in self.timers:
--- a/martenkeel/interface.py
+++ b/martenkeel/interface.py
@@ -312,6 +312,11 @@
     opens: float = float("inf")
 
 
+@dataclass(slots=True, frozen=True)
+class Ending:
+    """The process may be killed soon: what is open gets its final answer now."""
+
+
 Event: TypeAlias = (
     EngineList
     | QueryArrived
@@ -326,6 +331,7 @@
     | FleetSize
     | Inherited
     | ComingBack
+    | Ending
 )
 
 # Actions
--- a/slipbay/front/server.py
+++ b/slipbay/front/server.py
@@ -108,7 +108,7 @@
             self._hold(RETRY_US)
             return False
         sock.setblocking(False)
-        # asyncio does so itself only for sockets that were made with the protocol's number, which these are not
+        # asyncio does so itself only for sockets made with the protocol's number, which these are not
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = self._listeners[listener]()
         connection.sock = sock
--- a/slipbay/run.py
+++ b/slipbay/run.py
@@ -47,6 +47,8 @@
     from slipbay.quota.plan import Plan as Quotas
 
 LINGER_US = 700_000  # after SIGTERM, how long requests are still taken
+KILL_US = 3_000_000  # beyond that, at the earliest, SIGKILL follows; sooner where all deadlines are shorter
+LAST_WORD_US = 200_000  # before the earliest SIGKILL, for the last answers on their way to clients
 
 
 class Router:
@@ -313,6 +315,9 @@
             if self.quota is not None:
                 self.quota.end(LINGER_US)
             self.timers.after(LINGER_US, self._leave)
+            longest = max(spec.deadline_us for spec in self.config.settings.classes)
+            patience = max(0, min(longest, KILL_US) - LAST_WORD_US)
+            self.timers.after(LINGER_US + patience, lambda: self.core.tell(api.Ending()))
 
     def _leave(self) -> None:
         self.server.emptied = self.core.idle = self._maybe_done
