Fail a dial whose connect is refused out of hand, and let every dial be given up

Seen: connect_ex to 255.255.255.255 returns EACCES or ENETUNREACH at once; epoll then tells OUT|HUP for the socket and SO_ERROR is 0 (probe: `('255.255.255.255', 9) 101 [(3, 20)] 0`).

Ruled out: connects that are refused later (ECONNREFUSED comes with SO_ERROR, test), a time-out and a connection in one turn, give_up and abort in each turn after the hand-over, a reset before the transport is made, a failure that dials again (tests; all held before).

At fault: `Dial.__init__` ignored what connect_ex returned; `Dialer.dial` returned None for EMFILE with a timer of nobody's. Change: such errors, and EMFILE, are the dial's own failure in the next turn, which give_up stops.

Tests run without the mend: 3 failed (connect at once; given up: connect, descriptors), 9 passed.

--- a/slipbay/stream.py
+++ b/slipbay/stream.py
@@ -14,6 +14,7 @@
 RECEIVE_BYTES = 64 * 1024
 _RECEIVE = bytearray(RECEIVE_BYTES)
 _VIEW = memoryview(_RECEIVE)
+STARTED = (0, errno.EINPROGRESS, errno.EINTR)  # what ``connect_ex`` says of a connection on its way
 PEEK = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)  # put together once, as flags of an enum take their time
 
 
@@ -124,38 +125,55 @@
     ) -> None:
         self._dialer, self._stream, self._failed = dialer, stream, failed
         self._waiting = True
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self._sock: socket.socket | None = None
+        error = self._connect(address)
+        self._timer = (
+            dialer.timers.after(0, lambda: self._fail(error))
+            if error
+            else dialer.timers.after(timeout_us, lambda: self._fail(errno.ETIMEDOUT))
+        )
+
+    def _connect(self, address: Address) -> int:
+        """Start to connect; the error where not even that can be done, else 0.
+
+        A socket whose connect was refused out of hand has no ``SO_ERROR``, and can be written to.
+        """
         try:
+            self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
             self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._sock.connect_ex(address)
-            dialer.loop.add_writer(self._sock.fileno(), self._writable)
-        except OSError:
-            self._sock.close()
-            raise
-        self._timer = dialer.timers.after(timeout_us, self._timed_out)
+            error = self._sock.connect_ex(address)
+            if error not in STARTED:
+                return error
+            self._dialer.loop.add_writer(self._sock.fileno(), self._writable)
+        except OSError as problem:
+            return problem.errno or errno.EIO
+        return 0
 
     def _stop_waiting(self) -> None:
         self._waiting = False
         self._timer.cancel()
-        self._dialer.loop.remove_writer(self._sock.fileno())
+        if self._sock is not None:
+            self._dialer.loop.remove_writer(self._sock.fileno())
 
     def _writable(self) -> None:
-        self._stop_waiting()
+        assert self._sock is not None
         error = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error:
-            self._sock.close()
-            self._failed(error)
+            self._fail(error)
         else:
+            self._stop_waiting()
             self._dialer.hand_over(self._stream, self._sock)
 
-    def _timed_out(self) -> None:
+    def _fail(self, error: int) -> None:
         self.give_up()
-        self._failed(errno.ETIMEDOUT)
+        self._failed(error)
 
     def give_up(self) -> None:
+        """Does nothing once the connection has come up, or failed; its stream is to be aborted then."""
         if self._waiting:
             self._stop_waiting()
-            self._sock.close()
+            if self._sock is not None:
+                self._sock.close()
 
 
 class Dialer:
@@ -165,18 +183,10 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, timers: Timers) -> None:
         self.loop, self.timers = loop, timers
 
-    def dial(
-        self, address: Address, stream: Stream, timeout_us: int, failed: Callable[[int], None]
-    ) -> Dial | None:
-        """Start to connect; ``stream.opened`` or ``failed(errno)`` follows, never within this call.
-
-        None, and ``failed(EMFILE)`` soon, where the system has no descriptor left.
-        """
-        try:
-            return Dial(self, address, stream, timeout_us, failed)
-        except OSError:
-            self.timers.after(0, lambda: failed(errno.EMFILE))
-            return None
+    def dial(self, address: Address, stream: Stream, timeout_us: int, failed: Callable[[int], None]) -> Dial:
+        """Start to connect; ``stream.opened`` or ``failed(errno)`` follows, never within this call, and
+        neither once the dial is given up."""
+        return Dial(self, address, stream, timeout_us, failed)
 
     def hand_over(self, stream: Stream, sock: socket.socket) -> None:
         stream.sock = sock
--- /dev/null
+++ b/tests/test_dial.py
@@ -0,0 +1,217 @@
+"""Connections on their way up, on real sockets: ends that come at once, twice, or in one turn of the loop."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import resource
+import socket
+import struct
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import pytest
+from loopback import HOST, run, until
+
+from slipbay.clock import Clock
+from slipbay.core.timers import Timers
+from slipbay.stream import Dial, Dialer, Stream
+
+BROADCAST = ("255.255.255.255", 9)  # connect() refuses it out of hand: nothing is sent
+REFUSED = (errno.EACCES, errno.ENETUNREACH)  # with a network, and without one
+LONG_US = 30_000_000
+
+
+class Told(Stream):
+    """Keeps what it is told."""
+
+    def __init__(self) -> None:
+        self.log: list[str] = []
+
+    def opened(self) -> None:
+        self.log.append("opened")
+        if self.ours:  # given up while its transport was made: it is on its owner to look
+            self.abort()
+
+    def ended(self) -> None:
+        self.log.append("ended")
+
+
+def make_dialer() -> Dialer:
+    loop = asyncio.get_running_loop()
+    return Dialer(loop, Timers(loop, Clock(loop)))
+
+
+@contextmanager
+def listener() -> Iterator[socket.socket]:
+    with socket.create_server((HOST, 0)) as server:
+        server.setblocking(False)
+        yield server
+
+
+async def turns(count: int = 5) -> None:
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+@contextmanager
+def no_descriptors() -> Iterator[None]:
+    """The system gives this process no further one."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (3, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+def test_a_connect_that_fails_at_once_is_no_connection() -> None:
+    """Guards against a socket that never connected: it has no error, and can be written to."""
+
+    async def test() -> None:
+        errors: list[int] = []
+        stream = Told()
+        make_dialer().dial(BROADCAST, stream, LONG_US, errors.append)
+        assert not errors  # never within the call
+        await until(lambda: bool(errors or stream.log))
+        assert len(errors) == 1 and errors[0] in REFUSED and not stream.log
+
+    run(test)
+
+
+@pytest.mark.parametrize("what", ["connect", "descriptors"])
+def test_a_dial_that_failed_at_once_and_is_given_up_says_nothing(what: str) -> None:
+    """Guards against a failure of a connection that somebody has already replaced by another."""
+
+    async def test() -> None:
+        errors: list[int] = []
+        dialer = make_dialer()
+        if what == "connect":
+            dial: Dial | None = dialer.dial(BROADCAST, Told(), LONG_US, errors.append)
+        else:
+            with no_descriptors():
+                dial = dialer.dial((HOST, 9), Told(), LONG_US, errors.append)
+        assert dial is not None
+        dial.give_up()
+        last: list[int] = []
+        dialer.dial(BROADCAST, Told(), LONG_US, last.append)  # its failure comes after those before it
+        await until(lambda: bool(last))
+        assert not errors
+
+    run(test)
+
+
+def test_without_a_descriptor_a_dial_fails_soon_and_the_next_one_may_succeed() -> None:
+    async def test() -> None:
+        errors: list[int] = []
+        dialer, stream = make_dialer(), Told()
+        with listener() as server:
+            with no_descriptors():
+                dialer.dial(server.getsockname(), Told(), LONG_US, errors.append)
+            assert not errors
+            await until(lambda: bool(errors))
+            assert errors == [errno.EMFILE]
+            dialer.dial(server.getsockname(), stream, LONG_US, errors.append)
+            await until(lambda: stream.log == ["opened"])
+            stream.abort()
+            await until(lambda: stream.lost)
+
+    run(test)
+
+
+def test_a_connection_and_its_time_out_in_one_turn_have_one_end() -> None:
+    async def test() -> None:
+        errors: list[int] = []
+        dialer, stream = make_dialer(), Told()
+        with listener() as server:
+            dialer.dial(server.getsockname(), stream, 0, errors.append)  # on loopback it is up at once
+            await until(lambda: bool(errors or stream.log))
+            await turns()
+            assert (errors, stream.log) in (([], ["opened"]), ([errno.ETIMEDOUT], []))
+            stream.abort()
+            await turns()
+
+    run(test)
+
+
+@pytest.mark.parametrize("later", [None, 0, 1, 2, 3])
+def test_a_stream_aborted_after_its_hand_over_ends_once_and_closes_its_socket(later: int | None) -> None:
+    """``later``: turns after the hand-over, before (None), in and after the making of its transport."""
+
+    async def test() -> None:
+        errors: list[int] = []
+        dialer, stream = make_dialer(), Told()
+        hand_over = dialer.hand_over
+
+        def handed_over(stream: Stream, sock: socket.socket) -> None:
+            hand_over(stream, sock)
+            if later is None:
+                give_up()
+            else:
+                asyncio.get_running_loop().create_task(abort(later))
+
+        def give_up() -> None:
+            dial.give_up()
+            stream.abort()
+
+        async def abort(later: int) -> None:
+            await turns(later)
+            give_up()
+
+        dialer.hand_over = handed_over  # type: ignore[method-assign]
+        with listener() as server:
+            dial = dialer.dial(server.getsockname(), stream, LONG_US, errors.append)
+            other, _ = await asyncio.get_running_loop().sock_accept(server)
+            with other:
+                other.setblocking(False)
+                assert await asyncio.get_running_loop().sock_recv(other, 1) == b""
+            await until(lambda: stream.lost)
+            assert stream.log.count("ended") == 1 and not errors
+
+    run(test)
+
+
+def test_a_connection_reset_before_its_transport_is_made_ends_once() -> None:
+    async def test() -> None:
+        errors: list[int] = []
+        dialer, stream = make_dialer(), Told()
+        hand_over = dialer.hand_over
+
+        def handed_over(stream: Stream, sock: socket.socket) -> None:
+            other, _ = server.accept()
+            other.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            other.close()
+            hand_over(stream, sock)
+
+        dialer.hand_over = handed_over  # type: ignore[method-assign]
+        with listener() as server:
+            dialer.dial(server.getsockname(), stream, LONG_US, errors.append)
+            await until(lambda: stream.lost)
+            assert stream.log in (["opened", "ended"], ["ended"]) and not errors
+
+    run(test)
+
+
+def test_a_failure_may_dial_again_at_once() -> None:
+    """Guards against a writer left behind with a descriptor that the next socket gets too."""
+
+    async def test() -> None:
+        errors: list[int] = []
+        dialer, stream = make_dialer(), Told()
+        with listener() as server:
+
+            def again(error: int) -> None:
+                errors.append(error)
+                target = server.getsockname() if len(errors) == 3 else closed
+                dialer.dial(target, stream, LONG_US, again)
+
+            with socket.socket() as bound:  # bound and not listening: whoever comes is refused
+                bound.bind((HOST, 0))
+                closed = bound.getsockname()
+                dialer.dial(closed, stream, LONG_US, again)
+                await until(lambda: bool(stream.log))
+            assert errors == [errno.ECONNREFUSED] * 3 and stream.log == ["opened"]
+            stream.abort()
+            await until(lambda: stream.lost)
+
+    run(test)
