Let nothing but a ConfigError out of bad files, name file, key and reason, outlive late signals

Seen (probe of from_json before the change): 400-fold and deeper nesting raised RecursionError, `Infinity` in limits OverflowError, a port of many digits ValueError, out of the SIGHUP handler and as a traceback at the start; 1e999, numbers of 400 digits and halves of characters were taken. Operator files: the same nesting, NUL in a path, a repetition too large in a pattern, `inf` in mysql.toml. The log named the key alone, and for settings not even that (`settings cannot be read: invalid literal for int()`). A SIGHUP or a second SIGTERM between the end of the loop, which gives its handlers back, and that of the process killed it: exit code -1.

Ruled out (tests held before): SIGHUP before, in and after a drain, in a cut, its wait, a connect that hangs, refusals and silence, twice in a row, there and back, to the same address, after SIGTERM, before the start.

Change: `check_values` looks through what JSON and TOML gave before anything is made of it; `read_toml` is the one reader of operator files; settings are read key by key, and errors tell key and value; `load` adds the file's name; SIGHUP and SIGTERM are held again once the router is done.

The texts that test_process, test_cli and test_config want are stricter now (file name, `settings.profiles`).

--- a/martenkeel/wire.py
+++ b/martenkeel/wire.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from struct import Struct
 from struct import error as StructError
-from typing import Any, TypeAlias
+from typing import Any, TypeAlias, TypeVar
 
 from martenkeel import interface as api
 
@@ -92,72 +92,124 @@
 Lists: TypeAlias = dict[int, tuple[api.EngineEntry, ...]]
 
 
-def _classes(info: dict[str, Any]) -> Iterator[api.ServiceClass]:
-    family = info.get("familyInfo") or {}
+UNREADABLE = (ValueError, TypeError, OverflowError, KeyError, AttributeError)
+T = TypeVar("T")
+D = TypeVar("D")
 
-    def of_class(name: str, number: int, default: Any) -> Any:
-        values = family.get(name) or []
-        return values[number] if number < len(values) else default
 
-    for number, profile in enumerate(info["profiles"]):
+class _Fields:
+    """One object of the settings; a value that can't be read is told with its key and what it is."""
+
+    def __init__(self, data: object, path: str = "settings") -> None:
+        if not isinstance(data, dict):
+            raise MalformedFrame(f"{path}: cannot be read: want an object; got {data!r}")
+        self.data, self.path = data, path
+
+    def part(self, key: str) -> _Fields:
+        return _Fields(self.data.get(key) or {}, f"{self.path}.{key}")
+
+    def read(self, key: str, kind: Callable[[Any], T], default: D) -> T | D:
+        """A value, or the default where it is absent or null."""
+        return default if self.data.get(key) is None else self.need(key, kind)
+
+    def need(self, key: str, kind: Callable[[Any], T]) -> T:
+        """A value that must be there."""
+        if key not in self.data:
+            raise MalformedFrame(f"{self.path}.{key}: missing")
+        value = self.data[key]
+        try:
+            return kind(value)
+        except UNREADABLE as problem:
+            raise MalformedFrame(
+                f"{self.path}.{key}: cannot be read: {type(problem).__name__}: {problem}; got {value!r}"
+            ) from None
+
+
+def _list(value: Any) -> list[Any]:
+    if not isinstance(value, list):
+        raise TypeError("want a list")
+    return value
+
+
+def _numbers(value: Any) -> tuple[int, ...]:
+    return tuple(int(item) for item in _list(value))
+
+
+def _figures(value: Any) -> tuple[float, ...]:
+    return tuple(float(item) for item in _list(value))
+
+
+def _names(value: Any) -> tuple[str, ...]:
+    return tuple(str(item) for item in _list(value))
+
+
+def _classes(info: _Fields) -> Iterator[api.ServiceClass]:
+    family = info.part("familyInfo")
+    threads = family.read("threadsByClass", _numbers, ())
+    loads, blocked = family.read("isLoad", _list, []), family.read("blockedByLoads", _list, [])
+    for number, data in enumerate(info.need("profiles", _list)):
+        profile = _Fields(data, f"settings.profiles[{number}]")
         yield api.ServiceClass(
-            aim_us=int(profile["promiseUs"]),
-            deadline_us=int(profile["giveUpUs"]),
-            effect=EFFECTS[profile["effect"]],
-            worth=float(profile.get("gain", 1.0)),
-            late_worth=float(profile.get("lateWorth", 0.0)),
-            aim_stretch=float(profile.get("aimStretch") or 0.0),
-            threads=int(of_class("threadsByClass", number, 1)),
-            is_load=bool(of_class("isLoad", number, False)),
-            waits_for_loads=bool(of_class("blockedByLoads", number, False)),
-            dedup_scope=api.Scope(profile.get("keyScope") or "all"),
-            dedup_window_us=int(profile.get("windowUs") or 0),
-            in_order=bool(profile.get("byArrival", False)),
-            zones=tuple(profile["staysIn"]) if profile.get("staysIn") is not None else None,
-            kinds=tuple(profile["boundTo"]) if profile.get("boundTo") is not None else None,
-            stream=bool(profile.get("stream", False)),
+            aim_us=profile.need("promiseUs", int),
+            deadline_us=profile.need("giveUpUs", int),
+            effect=profile.need("effect", lambda name: EFFECTS[name]),
+            worth=profile.read("gain", float, 1.0),
+            late_worth=profile.read("lateWorth", float, 0.0),
+            aim_stretch=profile.read("aimStretch", float, 0.0),
+            threads=threads[number] if number < len(threads) else 1,
+            is_load=number < len(loads) and bool(loads[number]),
+            waits_for_loads=number < len(blocked) and bool(blocked[number]),
+            dedup_scope=profile.read("keyScope", lambda name: api.Scope(name or "all"), api.Scope("all")),
+            dedup_window_us=profile.read("windowUs", int, 0),
+            in_order=profile.read("byArrival", bool, False),
+            zones=profile.read("staysIn", _numbers, None),
+            kinds=profile.read("boundTo", _numbers, None),
+            stream=profile.read("stream", bool, False),
         )
 
 
 def settings_from(text: bytes) -> api.Settings:
     """Read the settings; keys that are not known are skipped, optional ones may be absent."""
     try:
-        info = json.loads(text)
-        limits, rules = info.get("policyLimits") or {}, info.get("rules") or {}
-        family, reporting = info.get("familyInfo") or {}, info.get("reporting") or {}
+        info = _Fields(json.loads(text))
+    except (ValueError, RecursionError) as problem:
+        raise MalformedFrame(f"settings: cannot be read: {type(problem).__name__}: {problem}") from None
+    limits, rules = info.part("policyLimits"), info.part("rules")
+    family, reporting = info.part("familyInfo"), info.part("reporting")
+    classes = tuple(_classes(info))
+    longest_refusal_us = limits.read("maxRetryAfterUs", int, 0)
+    try:
         return api.Settings(
-            classes=tuple(_classes(info)),
-            gateways=int(info.get("balancers", 1)),
-            gateway=int(info.get("me", 0)),
-            zone=int(info.get("zone") or 0),
-            kind_cores=tuple(float(cores) for cores in family.get("cpuOfKind") or ()),
-            tick_us=int(info.get("tickUs", 1000)),
-            answer_slack_us=int(rules.get("answerSlackUs") or 0),
-            max_attempts=int(limits.get("attemptsCap", 1)),
-            may_cancel=bool(limits.get("mayCancel", False)),
-            may_duplicate=bool(limits.get("mayDuplicate", False)),
-            may_probe=bool(limits.get("probes", False)),
-            may_tell=bool(limits.get("mayTell", False)),
-            heeds_priority=bool(family.get("lanesCount", False)),
-            max_retry_after_us=int(limits.get("maxRetryAfterUs") or 0) if limits.get("retryAfter") else 0,
-            list_on_request=info.get("membershipMode") == "on_request",
-            ask_within_us=int(rules.get("askWithinUs") or 0),
-            progress_us=int(family.get("progressUs") or 0),
-            report_fields=tuple(reporting.get("fields") or ()),
-            drain_grace_us=int(rules.get("drainGraceUs") or 0),
-            cold_share=float(rules.get("coldShare", 1.0)),
-            cold_multiple=float(rules.get("fallMultiple", 1.0)),
-            cold_window_us=int(rules.get("fallUs") or 0),
-            ramp_us=int(rules.get("rampTimeUs") or 0),
-            key_rest_us=int(rules.get("keyRestUs") or 0),
-            extra_free=float(rules["extraFree"]) if rules.get("extraFree") is not None else None,
-            extra_share=float(rules.get("repeatRatio") or 0.0),
-            extra_window_us=int(rules.get("countedOverUs") or 0),
+            classes=classes,
+            gateways=info.read("balancers", int, 1),
+            gateway=info.read("me", int, 0),
+            zone=info.read("zone", int, 0),
+            kind_cores=family.read("cpuOfKind", _figures, ()),
+            tick_us=info.read("tickUs", int, 1000),
+            answer_slack_us=rules.read("answerSlackUs", int, 0),
+            max_attempts=limits.read("attemptsCap", int, 1),
+            may_cancel=limits.read("mayCancel", bool, False),
+            may_duplicate=limits.read("mayDuplicate", bool, False),
+            may_probe=limits.read("probes", bool, False),
+            may_tell=limits.read("mayTell", bool, False),
+            heeds_priority=family.read("lanesCount", bool, False),
+            max_retry_after_us=longest_refusal_us if limits.read("retryAfter", bool, False) else 0,
+            list_on_request=info.data.get("membershipMode") == "on_request",
+            ask_within_us=rules.read("askWithinUs", int, 0),
+            progress_us=family.read("progressUs", int, 0),
+            report_fields=reporting.read("fields", _names, ()),
+            drain_grace_us=rules.read("drainGraceUs", int, 0),
+            cold_share=rules.read("coldShare", float, 1.0),
+            cold_multiple=rules.read("fallMultiple", float, 1.0),
+            cold_window_us=rules.read("fallUs", int, 0),
+            ramp_us=rules.read("rampTimeUs", int, 0),
+            key_rest_us=rules.read("keyRestUs", int, 0),
+            extra_free=rules.read("extraFree", float, None),
+            extra_share=rules.read("repeatRatio", float, 0.0),
+            extra_window_us=rules.read("countedOverUs", int, 0),
         )
-    except KeyError as missing:
-        raise MalformedFrame(f"settings lack or misuse {missing}") from None
-    except (ValueError, TypeError, AttributeError) as problem:
-        raise MalformedFrame(f"settings cannot be read: {problem}") from None
+    except ValueError as problem:
+        raise MalformedFrame(f"settings: {problem}") from None
 
 
 def _tail(tail: memoryview, offset: int, size: int) -> memoryview:
--- a/slipbay/config.py
+++ b/slipbay/config.py
@@ -5,7 +5,6 @@
 import ipaddress
 import json
 import re
-import tomllib
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, fields, replace
 from pathlib import Path
@@ -14,8 +13,16 @@
 from martenkeel import interface as api
 from martenkeel.wire import MalformedFrame, settings_from
 from slipbay.address import Address
+from slipbay.operators import (
+    TOO_DEEP,
+    check_values,
+    convert,
+    first_line,
+    need_msgspec,
+    read_toml,
+    switched_on,
+)
 from slipbay.operators import ConfigError as ConfigError
-from slipbay.operators import convert, need_msgspec, switched_on
 from slipbay.wire.spiffe import InvalidId, check_id
 
 if TYPE_CHECKING:
@@ -28,7 +35,7 @@
 DEPLOY = Path(__file__).parent.parent / "deploy"
 MYSQL_FILE, STORE_FILE = DEPLOY / "mysql.toml", DEPLOY / "store.toml"
 KEY_BYTES = 850  # of memory for a key that the store holds, in the index and in the ledger (docs/store.md)
-
+PORT = re.compile("[0-9]{1,5}")
 
 Part = TypeVar("Part")
 
@@ -179,7 +186,7 @@
         ipaddress.IPv4Address(host)
     except ValueError:
         colon = ""
-    if not colon or not (port.isascii() and port.isdigit()) or not 0 <= int(port) < 65536:
+    if not colon or not PORT.fullmatch(port) or int(port) > 65535:
         raise ConfigError(f"{key}: want an IPv4 address and a port, as in 10.0.0.4:8443; got {value!r}")
     return host, int(port)
 
@@ -246,14 +253,18 @@
 
 def from_json(text: str | bytes, environment: Mapping[str, str]) -> Config:
     try:
-        keys = Keys(json.loads(text))
+        data = json.loads(text)
     except ValueError as problem:
         raise ConfigError(f"the configuration is not JSON: {problem}") from None
+    except RecursionError:
+        raise ConfigError(f"the configuration: {TOO_DEEP}") from None
+    check_values(data)
+    keys = Keys(data)
     info = keys.part("settings")
     try:
         settings = settings_from(json.dumps(info.data).encode())
     except MalformedFrame as problem:
-        raise ConfigError(f"settings: {problem}") from None
+        raise ConfigError(str(problem)) from None
     limits, policy = keys.part("limits", {}), info.part("policyLimits", {})
     peers = keys.get("peers", list, "a list of addresses", [])
     known = keys.part("known", {"pos": 0, "entries": []})
@@ -293,6 +304,8 @@
         config = from_json(Path(path).read_bytes(), environment)
     except OSError as problem:
         raise ConfigError(f"GW_CONFIG: {path} cannot be read: {problem.strerror}") from None
+    except ConfigError as problem:
+        raise ConfigError(f"{Path(path).name}: {problem}") from None
     return replace(
         config,
         mysql=load_mysql(config, Path(environment.get("SLIPBAY_MYSQL") or MYSQL_FILE)),
@@ -332,12 +345,9 @@
 
 def operator_file(path: Path, read: Callable[[Keys], Part]) -> Part | None:
     """A TOML file that switches a part on; errors name file and key."""
-    try:
-        keys = Keys(tomllib.loads(path.read_text()))
-    except FileNotFoundError:
+    if (data := read_toml(path)) is None:
         return None
-    except (OSError, ValueError) as problem:
-        raise ConfigError(f"{path.name}: {problem}") from None
+    keys = Keys(data)
     try:
         return read(keys) if keys.get("enabled", bool, "true or false", False) else None
     except ConfigError as problem:
@@ -391,7 +401,11 @@
             "from a repeat of what another router ran"
         )
     marker = folder / loss.marker if loss.marker is not None else None
-    if marker is not None and marker.resolve().is_relative_to((folder / form.folder).resolve()):
+    try:
+        inside = marker is not None and marker.resolve().is_relative_to((folder / form.folder).resolve())
+    except (OSError, RuntimeError) as problem:  # links that lead to themselves
+        raise ConfigError(f"loss.marker: {problem}") from None
+    if inside:
         raise ConfigError("loss.marker: want a file outside of the store's folder, best on another disk")
     if marker is not None and loss.fleet:
         raise ConfigError("loss.fleet: want it off where loss.marker is set, which tells more")
@@ -417,11 +431,7 @@
 
     def secret(part: Keys, key: str) -> bytes:
         """The first line of a file; no password stands in the configuration itself."""
-        file = folder / part.text(key)
-        try:
-            return file.read_bytes().split(b"\n")[0].rstrip(b"\r")
-        except OSError as problem:
-            raise ConfigError(f"{part.name(key)}: {file} cannot be read: {problem.strerror}") from None
+        return first_line(folder / part.text(key), part.name(key)).rstrip(b"\r")
 
     def estimate(name: str) -> Estimate:
         part = estimates.part(name, {})
@@ -432,7 +442,7 @@
         part = Keys(item, f"classes.rules[{number}]")
         try:
             pattern = re.compile(part.text("pattern"), re.I | re.S)
-        except re.error as problem:
+        except (re.error, OverflowError, RecursionError) as problem:
             raise ConfigError(f"{part.name('pattern')}: {problem}") from None
         return ClassRule(pattern, choice(part, "class", config.classes))
 
--- a/slipbay/operators.py
+++ b/slipbay/operators.py
@@ -11,22 +11,34 @@
 
 T = TypeVar("T")
 KEY_BYTES = 16, 32  # of a key that seals messages, at least and at most
+MOST_NUMBER = 2**63 - 1  # what counters, and times in us, of all parts hold
+MOST_DEPTH = 32  # of tables in tables; the deepest that is known has 5
+TOO_DEEP = "nested too deeply"
 
 
 class ConfigError(Exception):
     """The text names the key and says what is wanted of it."""
 
 
-def switched_on(path: Path) -> dict[str, Any] | None:
-    """What a file says beside ``enabled = true``; None where it is absent or does not say that. A part whose
-    Struct is to be loaded only where it is on asks this first. Raises ``ConfigError``."""
+def read_toml(path: Path) -> dict[str, Any] | None:
+    """All that a file says; None where it is absent. Raises ``ConfigError``."""
     try:
         data = tomllib.loads(path.read_text())
     except FileNotFoundError:
         return None
     except (OSError, ValueError) as problem:
         raise ConfigError(f"{path.name}: {problem}") from None
-    finite(data, path.name)
+    except RecursionError:
+        raise ConfigError(f"{path.name}: {TOO_DEEP}") from None
+    check_values(data, path.name)
+    return data
+
+
+def switched_on(path: Path) -> dict[str, Any] | None:
+    """What a file says beside ``enabled = true``; None where it is absent or does not say that. A part whose
+    Struct is to be loaded only where it is on asks this first. Raises ``ConfigError``."""
+    if (data := read_toml(path)) is None:
+        return None
     enabled = data.pop("enabled", False)
     if not isinstance(enabled, bool):
         raise ConfigError(f"{path.name}: enabled: want true or false; got {enabled!r}")
@@ -69,26 +81,51 @@
         raise ConfigError(f"{name}: want the extra packages of slipbay[{extra}]: {problem}") from None
 
 
-def read_key(file: Path, key: str) -> bytes:
-    """The key that line 1 of a file holds. ``key``: of the operator file, which names it. Raises
-    ``ConfigError``."""
+def first_line(file: Path, key: str) -> bytes:
+    """Line 1 of a file that holds a secret. ``key``: what names the file. Raises ``ConfigError``."""
     try:
-        found = file.read_bytes().split(b"\n")[0].strip()
+        return file.read_bytes().split(b"\n")[0]
     except OSError as problem:
         raise ConfigError(f"{key}: {file} cannot be read: {problem.strerror}") from None
+
+
+def read_key(file: Path, key: str) -> bytes:
+    """The key that line 1 of a file holds. ``key``: of the operator file, which names it. Raises
+    ``ConfigError``."""
+    found = first_line(file, key).strip()
     if not KEY_BYTES[0] <= len(found) <= KEY_BYTES[1]:
         raise ConfigError(f"{key}: want {KEY_BYTES[0]} to {KEY_BYTES[1]} bytes in line 1; got {len(found)}")
     return found
 
 
-def finite(data: object, name: str, path: str = "") -> None:
-    """TOML can say ``inf`` and ``nan``, of which nothing can be made. Raises ``ConfigError``."""
+def check_values(data: object, file: str = "", path: str = "", depth: int = 0) -> None:
+    """JSON and TOML can say ``inf`` and ``nan``, numbers that no counter holds, NUL, which no path may have,
+    halves of characters, and nest without end, of which nothing can be made. Raises ``ConfigError``."""
+    place = ": ".join(name for name in (file, path) if name)
+    prefix = f"{place}: " if place else ""
+    if isinstance(data, float) and not isfinite(data):
+        raise ConfigError(f"{prefix}want a finite number; got {data!r}")
+    if isinstance(data, int | float) and abs(data) > MOST_NUMBER:
+        raise ConfigError(f"{prefix}want a number of at most {MOST_NUMBER}")
+    if isinstance(data, str):
+        _check_text(data, prefix)
+    if depth > MOST_DEPTH:
+        raise ConfigError(f"{prefix}{TOO_DEEP}")
     items = data.items() if isinstance(data, dict) else enumerate(data) if isinstance(data, list) else ()
     for key, value in items:
+        if isinstance(key, str):
+            _check_text(key, prefix)
         at = f"{path}[{key}]" if isinstance(key, int) else f"{path}.{key}".lstrip(".")
-        if isinstance(value, float) and not isfinite(value):
-            raise ConfigError(f"{name}: {at}: want a finite number; got {value!r}")
-        finite(value, name, at)
+        check_values(value, file, at, depth + 1)
+
+
+def _check_text(text: str, prefix: str) -> None:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        raise ConfigError(f"{prefix}want text that is valid Unicode; got {text!r}") from None
+    if "\0" in text:
+        raise ConfigError(f"{prefix}want text without NUL; got {text!r}")
 
 
 def _got(data: object, path: list[str]) -> str:
--- a/slipbay/quota/settings.py
+++ b/slipbay/quota/settings.py
@@ -3,13 +3,12 @@
 
 from __future__ import annotations
 
-import tomllib
 from collections.abc import Mapping
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from slipbay.config import DEPLOY, Config, ConfigError
-from slipbay.operators import convert, switched_on
+from slipbay.operators import convert, read_toml, switched_on
 
 if TYPE_CHECKING:
     from slipbay.quota.plan import Plan
@@ -26,7 +25,9 @@
     path = Path(environment.get("SLIPBAY_QUOTA") or QUOTA_FILE)
     data = switched_on(path)
     if data is None and always:
-        data = _read(path)
+        if (data := read_toml(path)) is None:
+            raise ConfigError(f"{path.name}: there is no such file")
+        data.pop("enabled", None)
     if data is None:
         return None
     try:
@@ -43,12 +44,3 @@
         return check_change(old, plan) if old is not None else plan
     except ConfigError as problem:
         raise ConfigError(f"{path.name}: {problem}") from None
-
-
-def _read(path: Path) -> dict[str, Any]:
-    try:
-        data = tomllib.loads(path.read_text())
-    except (OSError, ValueError) as problem:
-        raise ConfigError(f"{path.name}: {problem}") from None
-    data.pop("enabled", None)
-    return data
--- a/slipbay/run.py
+++ b/slipbay/run.py
@@ -46,6 +46,7 @@
     from slipbay.quota.part import QuotaPart
     from slipbay.quota.plan import Plan as Quotas
 
+HEEDED = (signal.SIGHUP, signal.SIGTERM)
 LINGER_US = 700_000  # after SIGTERM, how long requests are still taken
 
 
@@ -343,10 +344,13 @@
         loop.add_signal_handler(number, router.end)
     loop.add_signal_handler(signal.SIGHUP, router.reload, os.environ)
     await router.start()
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP, signal.SIGTERM))  # held by __main__ until now
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, HEEDED)  # held by __main__ until now
     gc.collect()
     gc.freeze()  # what lives from start to end is not looked through again
     await router.done.wait()
+    signal.pthread_sigmask(
+        signal.SIG_BLOCK, HEEDED
+    )  # the loop gives its handlers back: one would kill us now
     if router.keeper is not None:
         router.keeper.close()
     router.peers.close()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -143,7 +143,7 @@
             capture_output=True,
             text=True,
         )
-        assert told.returncode == 2 and "bad configuration: listen:" in told.stderr
+        assert told.returncode == 2 and "bad configuration: config.json: listen:" in told.stderr
 
 
 def test_a_router_without_a_store_loads_nothing_of_it() -> None:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -45,7 +45,7 @@
         ({"peers": ["x"]}, "peers[0]"),
         ({"known": {"pos": -1}}, "known.pos"),
         ({"known": {"entries": {}}}, "known.entries"),
-        ({"settings": {}}, "settings"),
+        ({"settings": {}}, "settings.profiles"),
         ({"settings": {**SETTINGS, "policyLimits": {"maxOpen": "x"}}}, "settings.policyLimits.maxOpen"),
         ({"peer_listen": "x"}, "peer_listen"),
     ],
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -33,8 +33,11 @@
     return config
 
 
-def start(folder: Path, **changes: object) -> subprocess.Popen[str]:
+def start(folder: Path, text: str | bytes | None = None, **changes: object) -> subprocess.Popen[str]:
+    """``text``: of the configuration file, in place of a good one with changes."""
     config = configure(folder, **changes)
+    if text is not None:
+        config.write_bytes(text.encode() if isinstance(text, str) else text)
     return subprocess.Popen(
         [sys.executable, "-m", "slipbay"],
         cwd=ROOT,
@@ -69,7 +72,9 @@
             before.sendall(b'{"pos":2}\n')
             configure(tmp_path, listen="nowhere")
             process.send_signal(signal.SIGHUP)
-            assert "the old one stays: listen:" in next(line for line in process.stderr if "reload" in line)
+            assert "the old one stays: config.json: listen:" in next(
+                line for line in process.stderr if "reload" in line
+            )
             configure(tmp_path, journal=f"{HOST}:{new.getsockname()[1]}", seed="7")
             process.send_signal(signal.SIGHUP)
             assert next(line for line in process.stderr if "reload" in line).endswith("next start: seed\n")
@@ -110,7 +115,7 @@
 def test_a_faulty_configuration_ends_the_start_with_its_key(tmp_path: Path) -> None:
     process = start(tmp_path, listen="nowhere")
     _, told = process.communicate(timeout=60)
-    assert process.returncode == 2 and "bad configuration: listen:" in told
+    assert process.returncode == 2 and "bad configuration: config.json: listen:" in told
 
 
 def test_the_deploy_file_names_what_exists() -> None:
