Take no unreadable line for a heartbeat, and drop what is sent to peers after the end

Ruled out: half and empty lines (never counted, tests held); messages that come after the close (the reader is removed with it).

Change: the silence and the failures begin anew with lines that can be read; a closed `Peers` has no transport.

--- a/slipbay/feed/journal.py
+++ b/slipbay/feed/journal.py
@@ -135,13 +135,13 @@
     def take(self, stream: _Tail, line: bytes) -> None:
         if not self.follows(stream):
             return
-        self.heard()
-        self._failures = 0
         try:
             event = self._engines.read_line(line)
         except UnreadableEvent as problem:
             log("journal", f"a line cannot be read: {problem}")
             return
+        self.heard()
+        self._failures = 0
         if event.pos <= self.pos:
             return  # told before a cut, or nothing new
         if isinstance(event, Heartbeat):
--- a/slipbay/feed/peers.py
+++ b/slipbay/feed/peers.py
@@ -56,5 +56,7 @@
             self._transport.sendto(body, address)
 
     def close(self) -> None:
+        """Timers of others may still fire once more: what they send then is dropped."""
         if self._transport is not None:
             self._transport.close()
+            self._transport = None
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -117,3 +117,23 @@
                 other.close()
 
     run(test)
+
+
+def test_what_is_sent_to_peers_after_the_end_is_dropped() -> None:
+    """Guards against a traceback in the log of a good end: timers of other parts may fire once more."""
+
+    async def test() -> None:
+        async with Loopback() as net:
+            troubles: list[object] = []
+            asyncio.get_running_loop().set_exception_handler(lambda loop, trouble: troubles.append(trouble))
+            settings = replace(net.router.config.settings, may_tell=True)
+            config = replace(net.router.config, settings=settings, peer_listen=(HOST, 0), peers=((HOST, 9),))
+            peers = Peers(config, lambda sender, body: None)
+            await peers.start()
+            peers.close()
+            for _ in range(3):
+                peers.send(b"late", 0)
+                await asyncio.sleep(0)
+            assert not troubles
+
+    run(test)
--- a/tests/test_list_races.py
+++ b/tests/test_list_races.py
@@ -95,6 +95,25 @@
     run(test)
 
 
+def test_lines_that_cannot_be_read_are_no_heartbeat() -> None:
+    """Guards against a watch that is kept for ever though nothing that it brings can be used."""
+
+    async def test() -> None:
+        async with Net() as net:
+            await until(lambda: bool(net.journal.writers))
+            net.journal.tell(event(2, host("s-8", 8)))
+            await until(lambda: net.feed.pos == 2)
+            due, stream = net.feed._due, net.feed._stream
+            assert stream is not None
+            net.journal.writers[0].write(b'garbage\n{"pos":"x"}\n[')
+            await until(lambda: stream._lines.held == 1)
+            assert net.feed._due is due
+            net.journal.writers[0].write(b"]\n" + lines(heartbeat(2)) + b"[")
+            await until(lambda: stream._lines.held == 1 and net.feed._due is not due)
+
+    run(test)
+
+
 # Drains, told once
 
 
