--- a/tests/test_dial.py
+++ b/tests/test_dial.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import errno
-import resource
 import socket
 import struct
 from collections.abc import Iterator
@@ -12,6 +11,7 @@
 
 import pytest
 from loopback import HOST, run, until
+from watches import no_descriptors
 
 from slipbay.clock import Clock
 from slipbay.core.timers import Timers
@@ -54,17 +54,6 @@
         await asyncio.sleep(0)
 
 
-@contextmanager
-def no_descriptors() -> Iterator[None]:
-    """The system gives this process no further one."""
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (3, hard))
-    try:
-        yield
-    finally:
-        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
-
-
 def test_a_connect_that_fails_at_once_is_no_connection() -> None:
     """Guards against a socket that never connected: it has no error, and can be written to."""
 
--- a/tests/test_reload_races.py
+++ b/tests/test_reload_races.py
@@ -16,7 +16,7 @@
 from loopback import HOST, SETTINGS, StandInJournal, event, host, run, until
 from mysql_standins import mysql_file
 from test_process import ROOT, configure, start
-from watches import Net, lines
+from watches import Net, lines, no_descriptors
 
 import slipbay.log
 from slipbay.channel.settings import load_channel
@@ -116,7 +116,9 @@
     run(test)
 
 
-@pytest.mark.parametrize("trouble", ["cut", "cut, waiting", "connecting", "refused", "silent"])
+@pytest.mark.parametrize(
+    "trouble", ["cut", "cut, waiting", "connecting", "refused", "silent", "no descriptor"]
+)
 def test_a_move_in_trouble_leads_to_one_connection(
     tmp_path: Path, trouble: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -139,8 +141,11 @@
                     closed.bind((HOST, 0))  # and does not listen
                     net.move(closed.getsockname()[1])
                     await until(lambda: net.feed._failures == 2)
-            else:
+            elif trouble == "silent":
                 net.wait_for_silence()
+            else:
+                with no_descriptors():
+                    net.feed.follow((HOST, 9))
             net.move(new.port)
             await until(lambda: bool(new.asked))
             stream = net.feed._stream
--- a/tests/watches.py
+++ b/tests/watches.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+import resource
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any, Self
 
 from loopback import Loopback, StandInEngine, StandInJournal, host
@@ -97,3 +99,14 @@
 
     def state(self, name: str) -> api.EngineState:
         return self.decisions.engines[name.encode()].entry.state
+
+
+@contextmanager
+def no_descriptors() -> Iterator[None]:
+    """The system gives this process no further one."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (3, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
