--- a/slipbay/feed/journal.py
+++ b/slipbay/feed/journal.py
@@ -120,6 +120,9 @@
         self._due = self._timers.after(SILENCE_US, self._silent)
 
     def _silent(self) -> None:
+        if self._stream is not None and self._stream.unread():  # it is we who got no time to read
+            self.heard()
+            return
         log("journal", "no word from the journal service; connecting anew")
         self._leave()
         self._again()
--- a/tests/test_list_races.py
+++ b/tests/test_list_races.py
@@ -8,6 +8,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
 import pytest
@@ -16,6 +17,7 @@
 
 from martenkeel import interface as api
 from slipbay.feed import journal as journal_module
+from slipbay.feed.events import EngineList, ListChange, UnreadableEvent
 from slipbay.stream import Stream
 
 SHORT_US = 50_000  # in place of periods that are long
@@ -95,6 +97,27 @@
     run(test)
 
 
+def test_a_heartbeat_that_came_and_was_not_read_yet_is_one() -> None:
+    """Guards against a call for the list by each router that got no time for two seconds."""
+
+    async def test() -> None:
+        async with Net() as net:
+            await until(lambda: bool(net.journal.writers))
+            stream = net.feed._stream
+            assert stream is not None
+            net.journal.tell(heartbeat(1))  # the system has it now
+            net.wait_for_silence()
+            assert net.feed._stream is stream
+            net.journal.tell(event(2, net.host(0, "DRAINING")))
+            await until(lambda: net.feed.pos == 2)
+            assert len(net.journal.asked) == 1
+            net.journal.writers[0].write_eof()  # an end that was not read yet is none
+            net.wait_for_silence()
+            assert net.feed._stream is None
+
+    run(test)
+
+
 def test_lines_that_cannot_be_read_are_no_heartbeat() -> None:
     """Guards against a watch that is kept for ever though nothing that it brings can be used."""
 
@@ -363,6 +386,30 @@
     run(test)
 
 
+def test_nothing_but_its_own_error_comes_out_of_a_line() -> None:
+    """Bytes of good lines are changed, left out, doubled and cut at places drawn from a seed."""
+    engines, random, read = EngineList(["room-a"], ["std-8"]), Random(29), 0
+    good = lines(event(2, host("s-0", 1), host("s-1", 2, "DRAINING", born_ms=7), whole=True)).rstrip()
+    tokens = [b"1e999", b"-1", b"null", b"[]", b"{}", b'""', b'"\\ud800"', b"NaN", b"9" * 5000, b"[" * 5000]
+    for _ in range(20_000):
+        line = bytearray(good)
+        for _ in range(random.randrange(1, 4)):
+            at = random.randrange(len(line))
+            end = min(len(line), at + random.randrange(0, 12))
+            line[at:end] = random.choice(
+                [bytes([random.randrange(256)]), b"", bytes(line[at:end]) * 2, *tokens]
+            )
+        try:
+            change = engines.read_line(bytes(line))
+        except UnreadableEvent:
+            continue
+        read += 1
+        if isinstance(change, ListChange):
+            engines.take(change)
+            assert all(host.entry.size > 0 and host.entry.ready_at_us >= 0 for host in engines.hosts)
+    assert read > 100
+
+
 # Connections
 
 
