--- a/slipbay/back/http.py
+++ b/slipbay/back/http.py
@@ -77,7 +77,7 @@
             self.close()
 
     def received(self, data: bytes) -> None:
-        self.pool.heard()
+        self.pool.answered()
         try:
             response = self._responses.feed(data)
         except http1.MalformedResponse as problem:
@@ -373,7 +373,8 @@
     def _unreachable(self, trouble: Trouble) -> None:
         self._wait = None
         if not self._posted:
-            self._finish(Outcome.MOOT if trouble is Trouble.NO_ROOM else Outcome.CONNECT_FAILED)
+            says_nothing = trouble in (Trouble.NO_ROOM, Trouble.LATE)  # of the engine
+            self._finish(Outcome.MOOT if says_nothing else Outcome.CONNECT_FAILED)
         elif self._is_dead(trouble):
             self._finish(self._stopping or Outcome.RESET)
         # else the check tries again until the engine must have dropped the query
--- a/slipbay/back/mysql.py
+++ b/slipbay/back/mysql.py
@@ -260,7 +260,11 @@
     def _unreachable(self, trouble: Trouble) -> None:
         self._wait = None
         self._finish(
-            {Trouble.FULL: Outcome.FULL, Trouble.NO_ROOM: Outcome.MOOT}.get(trouble, Outcome.CONNECT_FAILED)
+            {
+                Trouble.FULL: Outcome.FULL,
+                Trouble.NO_ROOM: Outcome.MOOT,
+                Trouble.LATE: Outcome.MOOT,
+            }.get(trouble, Outcome.CONNECT_FAILED)
         )
 
     def _cut(self) -> None:
--- a/slipbay/back/pool.py
+++ b/slipbay/back/pool.py
@@ -32,6 +32,7 @@
 
     REFUSED = auto()  # the machine answers; its process does not run, or takes no more connections
     SILENT = auto()  # nothing came back in time
+    LATE = auto()  # nor did this connection come up, but the engine answered on others meanwhile
     BROKEN = auto()  # it came up and broke before it could be used
     FULL = auto()  # the engine takes no more connections
     NO_ROOM = auto()  # we hold all the sockets that we may
@@ -96,8 +97,8 @@
 class Wait(Generic[C]):
     """Somebody who waits for a connection: ``done`` or ``failed`` is called, once, unless cancelled."""
 
-    def __init__(self, done: Callable[[C], None], failed: Callable[[Trouble], None]) -> None:
-        self.done, self.failed = done, failed
+    def __init__(self, done: Callable[[C], None], failed: Callable[[Trouble], None], begun: int) -> None:
+        self.done, self.failed, self.begun = done, failed, begun
         self.dial: Dial | None = None
         self.stream: C | None = None
         self.timer: Timer | None = None
@@ -142,6 +143,7 @@
         self._held: set[C] = set()  # connections that count, idle or not
         self.gone, self._gone_at = False, 0
         self._heard_at, self._away_until = now(), 0
+        self._answered_at = -1  # when something last came on a connection that was up
         sockets.pools.append(self)  # type: ignore[arg-type]
 
     def acquire(
@@ -151,7 +153,7 @@
 
         An idle one is handed over within this call, and there is nothing to wait for; all else comes later.
         """
-        wait = Wait(done, failed)
+        wait = Wait(done, failed, self.now())
         while self.idle and not fresh:
             stream = self._next_idle()
             if stream.stale():
@@ -217,7 +219,8 @@
                 wait.dial.give_up()
             if wait.stream is not None:
                 self.discard(wait.stream)
-            wait.failed(trouble)
+            late = trouble is Trouble.SILENT and self._answered_at >= wait.begun
+            wait.failed(Trouble.LATE if late else trouble)
 
     def take_back(self, stream: C) -> None:
         if stream.lost or stream not in self._held:
@@ -258,6 +261,11 @@
         while self.idle and self.now() - self.idle[0].idle_since > self._keep_us:
             self.idle.popleft().close()
 
+    def answered(self) -> None:
+        """Something came on a connection that was up: its machine is there, and its process runs."""
+        self._answered_at = self.now()
+        self.heard()
+
     def heard(self) -> None:
         """A sign of life, be it the end of a connection."""
         if self.now() - self._heard_at > QUIET_US:
--- a/tests/test_engine_races.py
+++ b/tests/test_engine_races.py
@@ -11,9 +11,11 @@
 from typing import Any
 
 import pytest
+from exchange_models import ENGINE, Attempt, HttpModel
 from fakes import FakeDialer, FakeLoop
 from loopback import HOST, SETTINGS, HttpCall, JsonClient, Loopback, StandInEngine, http_answer, run, until
 
+from martenkeel.interface import Outcome
 from slipbay.back import http
 from slipbay.back.http import HttpConnection
 from slipbay.back.pool import EVICTED_AT_ONCE, Pool, Sockets, Trouble
@@ -223,3 +225,21 @@
     assert sockets.used == 20 + EVICTED_AT_ONCE
     loop.advance(0)
     assert troubles == [Trouble.NO_ROOM] * (20 - EVICTED_AT_ONCE) and sockets.used == 20
+
+
+@pytest.mark.parametrize("speaks", [False, True])
+def test_a_connection_that_comes_up_late_says_nothing_of_an_engine_that_answers_on_others(
+    speaks: bool,
+) -> None:
+    """Guards against an engine that is held to have restarted, and to be cold, as one connection is slow."""
+    model = HttpModel()
+    model.connect()
+    model.arrive(0)
+    second = Attempt(model.loop.us, b"SELECT 2")
+    pool = model.back._pools[ENGINE]
+    http.HttpExchange(model.back, second, pool)  # type: ignore[arg-type]
+    model.loop.advance(100_000)
+    if speaks:
+        model.answer(0, "nothing")
+    model.loop.advance(model.back._config.connect_timeout_us)
+    assert second.ends == [(Outcome.MOOT if speaks else Outcome.CONNECT_FAILED, None)]
