Give the front's server the field's names: drain, eviction, accepting, graceful close

Names alone; in the contract of fronts the broken implementation that stays open overrides the method by its new name, and is found again (it was not, which the test reported, until that was done).

--- a/slipbay/front/jsonrpc.py
+++ b/slipbay/front/jsonrpc.py
@@ -104,7 +104,7 @@
         except LineTooLong:
             log("client", "a line is too long; the connection is closed")
             self.departed()
-            self.hang_up()
+            self.close_gracefully()
             return
         for line in lines:
             if line:
@@ -144,7 +144,7 @@
             raise jsonrpc.Problem(id, jsonrpc.METHOD_NOT_FOUND, "no such method")
         if len(self._open) >= MOST_OPEN:
             raise jsonrpc.Problem(id, jsonrpc.INVALID_REQUEST, "too many requests are open here")
-        if self.server.leaving:  # what we took before is still answered; this one can go elsewhere
+        if self.server.draining:  # what we took before is still answered; this one can go elsewhere
             self.write(jsonrpc.error(id, jsonrpc.REFUSED, "this router is about to end", 0))
             return
         params = jsonrpc.read_query(call)
@@ -197,7 +197,7 @@
                 self.write(jsonrpc.error(id, jsonrpc.INVALID_PARAMS, reason))
             case Failed(reason):
                 self.write(jsonrpc.error(id, jsonrpc.FAILED, reason))
-        self.settled()
+        self.close_if_drained()
 
     def departed(self) -> None:
         for request in self._open.values():
--- a/slipbay/front/mysql.py
+++ b/slipbay/front/mysql.py
@@ -278,7 +278,7 @@
         log("client", text)
         self._error(sequence, code, text)
         self.departed()
-        self.hang_up()
+        self.close_gracefully()
 
     # Login
 
@@ -451,7 +451,7 @@
     # Requests
 
     def _submit(self, sequence: int, work: mysql.Work, outline: sql.Outline) -> None:
-        if self.server.leaving:
+        if self.server.draining:
             self._error(sequence, mysql.ER_SERVER_SHUTDOWN, "Server shutdown in progress")
             return
         self._request = self._front.request(work, outline, self._tenant, self)
@@ -499,7 +499,7 @@
                 self._carry_out(*self._waiting.popleft())
         except mysql.MalformedPacket as problem:
             self._last_word(0, mysql.ER_MALFORMED_PACKET, str(problem))
-        self.settled()
+        self.close_if_drained()
 
     def departed(self) -> None:
         self._waiting.clear()
--- a/slipbay/front/server.py
+++ b/slipbay/front/server.py
@@ -16,16 +16,16 @@
 IDLE_US = 6_000_000  # clients close theirs after 4 s; this is for those that hold on to it for good
 FIRST_US = 2_000_000  # a client that says nothing whole for so long after it came is let go
 SWEEP_US = 500_000
-GO_AT_ONCE = 8  # of those that lose nothing, where there is no room
+MOST_EVICTED_AT_ONCE = 8  # of those that lose nothing, where there is no room
 RETRY_US = 20_000  # until the next look for room
 BACKLOG = 512  # of clients that the system holds until we take them
-AT_ONCE = 32  # taken in one turn, so that those taken are read before many more are
+MOST_ACCEPTED_AT_ONCE = 32  # taken in one turn, so that those taken are read before many more are
 LINGER_US = 250_000  # that a client has to end its side of a connection that we ended
 MOST_LINGERING = 12  # of these that hold descriptors of the reserve, and take up no client's room
 MOST_UNSENT = 2 * 1024 * 1024  # bytes of answers on one connection: as many as can be open, at their longest
 
 
-class Loss(IntEnum):
+class EvictionCost(IntEnum):
     """What a client without an open request loses with its connection. Where there is no room, those that
     lose least go first, and of these the one that has said nothing for longest."""
 
@@ -42,10 +42,10 @@
         self._timers, self._limits, self.now = timers, limits, now
         self.connections: set[ClientConnection] = set()  # from the moment they are taken from the system
         self._listeners: dict[socket.socket, Callable[[], ClientConnection]] = {}
-        self._relief: Timer | None = None  # there is no room: those who come wait with the system
+        self._room_check: Timer | None = None  # there is no room: those who come wait with the system
         self.lingering: set[ClientConnection] = set()  # those of which we have ended our side
-        self.leaving = False  # the process is to end: connections close once nothing is open on them
-        self.emptied: Callable[[], None] = lambda: None
+        self.draining = False  # the process is to end: connections close once nothing is open on them
+        self.on_empty: Callable[[], None] = lambda: None
         timers.after(SWEEP_US, self._sweep)
 
     def listen(self, address: Address, make: Callable[[], ClientConnection]) -> None:
@@ -53,7 +53,7 @@
         listener = socket.create_server(address, backlog=BACKLOG)
         listener.setblocking(False)
         self._listeners[listener] = make
-        asyncio.get_running_loop().add_reader(listener, self._come, listener)
+        asyncio.get_running_loop().add_reader(listener, self._accept_ready, listener)
 
     @property
     def listening(self) -> bool:
@@ -64,39 +64,39 @@
         """Those that are listened on, in the order of their start."""
         return [listener.getsockname()[1] for listener in self._listeners]
 
-    def leave(self, at_most_us: int) -> None:
+    def drain(self, at_most_us: int) -> None:
         """Take no connections any more, and let go of those that are done, and in the end of all."""
-        self.leaving = True
-        self._timers.after(at_most_us, self._cut_off)
+        self.draining = True
+        self._timers.after(at_most_us, self._abort_all)
         for listener in self._listeners:
-            while self._take(listener):  # what they sent would be lost with the listener
+            while self._accept_one(listener):  # what they sent would be lost with the listener
                 pass
-        self._hold(RETRY_US)
+        self._pause_accepting(RETRY_US)
         for listener in self._listeners:
             listener.close()
         self._listeners.clear()
         for connection in list(self.connections):
-            connection.settled()
+            connection.close_if_drained()
         if not self.connections:
-            self.emptied()
+            self.on_empty()
 
-    def _cut_off(self) -> None:
+    def _abort_all(self) -> None:
         """Guards against readers so slow that their last answer would keep the process from its end."""
         for connection in list(self.connections):
             connection.abort()
 
     # Clients come
 
-    def _come(self, listener: socket.socket) -> None:
-        for _ in range(AT_ONCE):
-            if not self._take(listener):
+    def _accept_ready(self, listener: socket.socket) -> None:
+        for _ in range(MOST_ACCEPTED_AT_ONCE):
+            if not self._accept_one(listener):
                 break
 
-    def _take(self, listener: socket.socket) -> bool:
+    def _accept_one(self, listener: socket.socket) -> bool:
         """Take one client from the system, if one waits and there is room. Never more than may be held: what
         those beyond it send stays with the system until there is room."""
         if not self.has_room:
-            self._hold(0)
+            self._pause_accepting(0)
             return False
         try:
             sock, _ = listener.accept()
@@ -104,8 +104,8 @@
             return False
         except OSError as problem:  # the system is short of descriptors or of memory
             log("client", f"none can be taken: {problem.strerror}")
-            self.let_go()
-            self._hold(RETRY_US)
+            self.evict_idle()
+            self._pause_accepting(RETRY_US)
             return False
         sock.setblocking(False)
         # asyncio does so itself only for sockets made with the protocol's number, which these are not
@@ -130,67 +130,69 @@
         staying = len(self.connections) - min(len(self.lingering), MOST_LINGERING)
         return staying < self._limits.client_sockets
 
-    def _hold(self, wait_us: int) -> None:
+    def _pause_accepting(self, wait_us: int) -> None:
         """Take none until one has left, or until the look for room that follows."""
-        if self._relief is None:
+        if self._room_check is None:
             for listener in self._listeners:
                 asyncio.get_running_loop().remove_reader(listener)
-            self._relief = self._timers.after(wait_us, self._relieve)
+            self._room_check = self._timers.after(wait_us, self._check_room)
 
-    def _relieve(self) -> None:
+    def _check_room(self) -> None:
         """The ends of all clients that went before this turn have been read: none of them takes up room."""
-        self._relief = self._timers.after(RETRY_US, self._relieve)
+        self._room_check = self._timers.after(RETRY_US, self._check_room)
         if self.has_room:
-            self._go_on()
-        elif len(self.lingering) < MOST_LINGERING and not any(c.going for c in self.connections):
-            self.let_go()
-
-    def _go_on(self) -> None:
-        if self._relief is not None:
-            self._relief.cancel()
-            self._relief = None
+            self._resume_accepting()
+        elif len(self.lingering) < MOST_LINGERING and not any(c.closes_next_turn for c in self.connections):
+            self.evict_idle()
+
+    def _resume_accepting(self) -> None:
+        if self._room_check is not None:
+            self._room_check.cancel()
+            self._room_check = None
             for listener in self._listeners:
-                asyncio.get_running_loop().add_reader(listener, self._come, listener)
+                asyncio.get_running_loop().add_reader(listener, self._accept_ready, listener)
 
-    def let_go(self) -> None:
+    def evict_idle(self) -> None:
         """Make room for others, if any client can be let go: none that has sent what we have not read."""
         now, room = self.now(), 0
         idle = sorted(
-            (connection.loss(now), connection.touched, id(connection), connection)
+            (connection.eviction_cost(now), connection.touched, id(connection), connection)
             for connection in self.connections
             if not (connection.busy or connection.closing)
         )
         for loss, _, _, connection in idle:
             if connection.unread():
                 continue
-            if room >= (GO_AT_ONCE if loss < Loss.IDLE else 1):
+            if room >= (MOST_EVICTED_AT_ONCE if loss < EvictionCost.IDLE else 1):
                 break
             log("client", "too many connections; one is closed")
-            connection.hang_up()
+            connection.close_gracefully()
             room += 1
 
-    def joined(self, connection: ClientConnection) -> None:
+    def add(self, connection: ClientConnection) -> None:
         self.connections.add(connection)
-        if self.leaving:
-            connection.settled()
+        if self.draining:
+            connection.close_if_drained()
 
-    def lingers(self, connection: ClientConnection) -> None:
+    def add_lingering(self, connection: ClientConnection) -> None:
         """We have ended our side of a connection; the client has so long to end its own."""
         self.lingering.add(connection)
-        self._timers.after(LINGER_US, lambda: self._finish(connection))
+        self._timers.after(LINGER_US, lambda: self._close_lingering(connection))
 
-    def _finish(self, connection: ClientConnection) -> None:
+    def _close_lingering(self, connection: ClientConnection) -> None:
         if connection.unsent and not connection.lost:
-            self._timers.after(LINGER_US, lambda: self._finish(connection))  # the sweep cuts off slow readers
+            self._timers.after(
+                LINGER_US, lambda: self._close_lingering(connection)
+            )  # the sweep cuts off slow readers
         else:
             connection.close()
 
-    def left(self, connection: ClientConnection) -> None:
+    def remove(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
         self.lingering.discard(connection)
-        self._go_on()
-        if self.leaving and not self.connections:
-            self.emptied()
+        self._resume_accepting()
+        if self.draining and not self.connections:
+            self.on_empty()
 
     def _sweep(self) -> None:
         """Idle connections go; memory is looked at here too, as it grows in small steps."""
@@ -201,7 +203,7 @@
             if connection.unsent:
                 connection.abort()
             elif not (connection.half_closed or connection.unread()):
-                connection.hang_up()
+                connection.close_gracefully()
         self.bound_memory()
         self._timers.after(SWEEP_US, self._sweep)
 
@@ -246,16 +248,16 @@
         """Whether a message has come in part."""
         return bool(self.unparsed)
 
-    def loss(self, now: int) -> Loss:
+    def eviction_cost(self, now: int) -> EvictionCost:
         """What letting it go would cost its client, if no request is open on it."""
         if self.unparsed:
-            return Loss.PART
+            return EvictionCost.PART
         if 3 * (now - self.touched) >= 2 * self.idle_us:
-            return Loss.NOTHING
-        return Loss.IDLE if self.spoke else Loss.UNUSED
+            return EvictionCost.NOTHING
+        return EvictionCost.IDLE if self.spoke else EvictionCost.UNUSED
 
     @property
-    def going(self) -> bool:
+    def closes_next_turn(self) -> bool:
         """Whether its descriptor is free in the next turn."""
         return self.transport is not None and self.closing and not self.unsent
 
@@ -270,10 +272,10 @@
     def opened(self) -> None:
         assert self.transport is not None
         self.transport.set_write_buffer_limits(high=MOST_UNSENT)
-        self.server.joined(self)
+        self.server.add(self)
 
     def ended(self) -> None:
-        self.server.left(self)
+        self.server.remove(self)
         self.departed()
 
     def eof_received(self) -> None:
@@ -286,20 +288,20 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         super().buffer_updated(nbytes)
-        if self.server.leaving:
-            self.settled()
+        if self.server.draining:
+            self.close_if_drained()
 
-    def settled(self) -> None:
+    def close_if_drained(self) -> None:
         """A request was answered; on the way out the connection closes with its last one, but not in the
         middle of a message: the rest of a slow writer's is on its way, and gets an answer too."""
         self.touch()
-        if self.server.leaving and not (self.closing or self.busy or self.mid_message or self.unread()):
-            self.hang_up()
+        if self.server.draining and not (self.closing or self.busy or self.mid_message or self.unread()):
+            self.close_gracefully()
 
-    def hang_up(self) -> None:
+    def close_gracefully(self) -> None:
         """Close, without a reset of what the client has not read yet."""
         self.half_close()
-        self.server.lingers(self)
+        self.server.add_lingering(self)
 
     def flow_changed(self) -> None:
         """A client that reads none of its answers gets to send no further requests meanwhile. Until then it
--- a/slipbay/run.py
+++ b/slipbay/run.py
@@ -321,8 +321,8 @@
             self.timers.after(LINGER_US + patience, lambda: self.core.tell(api.Ending()))
 
     def _leave(self) -> None:
-        self.server.emptied = self.core.idle = self._maybe_done
-        self.server.leave(max(spec.deadline_us for spec in self.config.settings.classes))
+        self.server.on_empty = self.core.idle = self._maybe_done
+        self.server.drain(max(spec.deadline_us for spec in self.config.settings.classes))
 
     def _maybe_done(self) -> None:
         if not self.server.connections and not self.core.requests:
--- a/tests/contracts/test_front_contract.py
+++ b/tests/contracts/test_front_contract.py
@@ -89,16 +89,16 @@
         held(self.transport.reads == reads, "F5", "one that does not read may send on")
 
     @rule(chance=st.integers(0, 9))
-    @precondition(lambda self: not self.server.leaving)
+    @precondition(lambda self: not self.server.draining)
     def drain(self, chance: int) -> None:
         if not chance:
-            self.server.leave(10_000_000)
+            self.server.drain(10_000_000)
             self.loop.settle()
 
     @invariant()
     def busy_while_requests_are_open(self) -> None:
         held(self.connection.busy == bool(self.open), "F6", "busy without a request, or idle with one")
-        held(not self.server.leaving or self.open or self.transport.closing, "F6", "it stays after a drain")
+        held(not self.server.draining or self.open or self.transport.closing, "F6", "it stays after a drain")
         held(not (self.open and self.transport.closing), "F6", "it closes with requests open")
 
 
@@ -132,9 +132,9 @@
         self.receive(json.dumps(message).encode() + b"\n", cut)
         if id <= self.last_id or bad or open_before >= MOST_OPEN:
             told = json.loads(self.sent[before:] or b"{}")
-            codes = (-32600, -32602, -32002)[: 2 + self.server.leaving]
+            codes = (-32600, -32602, -32002)[: 2 + self.server.draining]
             held(told.get("id") == id and told["error"]["code"] in codes, "F3", str(told))
-        elif self.server.leaving:
+        elif self.server.draining:
             held(json.loads(self.sent[before:])["error"]["code"] == -32002, "F3", "taken on the way out")
         else:
             held(len(self.open) == open_before + 1 and len(self.sent) == before, "F1", "it is not open")
@@ -235,7 +235,7 @@
         self.answer(0, how)
         numbers = [number for number, _ in mysql.Packets(1000).feed(bytes(self.sent[before:]))]
         owed = [1, 2, 3, 4, 5] if isinstance(how, Served) else [1]
-        if self.server.leaving:  # those that wait are refused
+        if self.server.draining:  # those that wait are refused
             owed, self.waiting = owed + [1] * self.waiting, 0
         held(numbers == owed, "F1", f"packets {numbers}")
         held(len(self.open) == min(1, self.waiting), "F1", "the next that waited has not its turn")
@@ -291,7 +291,7 @@
 class Stays(JsonRpcConnection):
     """F6: it does not close with its last answer."""
 
-    def settled(self) -> None:
+    def close_if_drained(self) -> None:
         self.touch()
 
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -208,7 +208,7 @@
     async def __aexit__(self, *exception: object) -> None:
         for server in [self.journal.server, *(engine.server for engine in self.engines)]:
             server.close()
-        self.router.server.leave(0)
+        self.router.server.drain(0)
         if self.router.keeper is not None:
             self.router.keeper.close()
 
--- a/tests/test_close_races.py
+++ b/tests/test_close_races.py
@@ -77,7 +77,7 @@
             at_the_close(monkeypatch, lambda: client.sendall(line(2)))
             client.sendall(line(1))
             await until(lambda: bool(engine.calls))
-            net.router.server.leave(20_000_000)
+            net.router.server.drain(20_000_000)
             (connection,) = net.router.server.connections
             answer.set()
             await until(lambda: connection.half_closed and not connection.unsent)
@@ -101,7 +101,7 @@
             client.sendall(line(1, "alive"))
             await until(lambda: all(c.spoke for c in net.router.server.connections))
             at_the_close(monkeypatch, lambda: client.sendall(line(2)))
-            net.router.server.let_go()
+            net.router.server.evict_idle()
             assert json.loads(await read_to_end(client))["result"] == {"well": True}
             client.close()
             await until(lambda: not net.router.server.connections)
@@ -131,7 +131,7 @@
         async with Loopback(StandInEngine()) as net:
             stubborn = await connect(net)
             (connection,) = net.router.server.connections
-            connection.hang_up()
+            connection.close_gracefully()
             assert net.router.server.connections and net.router.server.lingering
             most = net.router.config.limits.client_sockets
             others: list[Any] = [object() for _ in range(most - 1)]
@@ -155,7 +155,7 @@
             request = line(1)
             client.sendall(request[:50])
             await until(lambda: all(c.mid_message for c in net.router.server.connections))
-            net.router.server.leave(20_000_000)
+            net.router.server.drain(20_000_000)
             client.sendall(request[50:])
             error = json.loads(await read_to_end(client))["error"]
             assert error["code"] == -32002 and not engine.calls
@@ -172,7 +172,7 @@
         async with Loopback(StandInEngine()) as net:
             client = socket.create_connection((HOST, net.port()))  # it waits with the system
             client.setblocking(False)
-            net.router.server.leave(20_000_000)
+            net.router.server.drain(20_000_000)
             (connection,) = net.router.server.connections
             assert connection.transport is None
             await until(lambda: connection.transport is not None)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -258,7 +258,7 @@
             late.send("alive")
             assert (await late.answer())["result"] == {"well": False}
             late.query()
-            await until(lambda: net.router.server.leaving)
+            await until(lambda: net.router.server.draining)
             assert not net.router.done.is_set()
             go_on.set()
             assert "result" in await client.answer() and "result" in await late.answer()
@@ -307,7 +307,7 @@
 
     def connect() -> tuple[JsonRpcConnection, FakeTransport]:
         while not server.has_room:
-            server.let_go()
+            server.evict_idle()
             loop.advance(10_000)
         connection = JsonRpcConnection(server, front)
         transport = FakeTransport(loop, connection, lambda transport, data: None)
@@ -352,7 +352,7 @@
     half, idle, silent = connect(alive[:20]), connect(alive), connect(b"")
     second = connect(alive + alive[:20])
     for gone in range(1, 6):
-        server.let_go()
+        server.evict_idle()
         loop.settle()
         going = [one.closing for one in (overdue, silent, idle, half, second)]
         assert going == [gone > 0, gone > 0, gone > 1, gone > 2, gone > 3]
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -92,7 +92,11 @@
 
 @pytest.mark.parametrize(
     "close",
-    [lambda server: server.let_go(), lambda server: server._sweep(), lambda server: server.leave(10_000_000)],
+    [
+        lambda server: server.evict_idle(),
+        lambda server: server._sweep(),
+        lambda server: server.drain(10_000_000),
+    ],
 )
 def test_a_request_that_has_come_is_answered_on_a_connection_about_to_be_closed(
     close: Callable[[Server], None],
@@ -129,7 +133,7 @@
             known.send("alive")
             await known.answer()
             assert (raw := known.writer.get_extra_info("socket")) is not None
-            net.router.server.let_go()
+            net.router.server.evict_idle()
             with socket.socket(fileno=os.dup(raw.fileno())) as client:
                 client.setblocking(False)
                 assert client.recv(1) == b""
