Count what is sent in the moment of a sum against the lot for a cold engine

Lines at fault: Controller.cold_room summed charges with 'at > told_at'. When a sum arrives, tell() sets told_at to now and handle() releases the held queries at the same time, so none of these counted: who won the lot for one query sent all that it held.

Change: charges at told_at count ('>='). A send of that instant before the sum counts too, which is on the safe side.

Tests: tests/cold_starts.py counts what arrives at cold engines, apart from the decisions' books; tests/test_cold_starts.py plays 20 and 30 routers.

--- a/martenkeel/decide.py
+++ b/martenkeel/decide.py
@@ -293,7 +293,7 @@
             return e.charges.since(now - window - WATCH) + cls.work <= most / turns
         free = THREADS_PER_CORE * e.cores * e.capacity(now, self.settings) - e.others - e.mine
         share = min(free / cls.spec.threads * cls.work, most * TELL / max(window, 1)) / self.gateways
-        sent = sum(work for at, work in e.charges.items if at > self.told_at)
+        sent = sum(work for at, work in e.charges.items if at >= self.told_at)
         return lots and sent + cls.work <= share + e.luck * cls.work
 
     def tell(self, now: int, body: bytes = b"") -> None:
