Pass on the key by which engines drop repeats; let an end bound all deadlines

Neither front nor back read or wrote the key (wire/jsonrpc.py read_query, back/http.py _post). The new test in test_router.py fails without the header (it was run so by mistake in its first form, for another reason: a quick second answer is asked for again, so calls are counted by POST).

Queries that can't be done by then were held, or taken, for up to 3.5 s before they were refused. Now the decisions are told at SIGTERM until when all must be answered, and it bounds deadlines: what can't end in time is refused at once, and its client goes elsewhere.

--- a/martenkeel/decide.py
+++ b/martenkeel/decide.py
@@ -96,9 +96,9 @@
                     self.inherit(event, 1 / LEARN)
                 case api.ComingBack():
                     self.line.follow(now, event)
-                case api.Ending():
-                    for open_query in list(self.queries.values()):
-                        self.answer(open_query, now)
+                case api.Ending(by):
+                    self.end_by(by)
+                    self.timer(by, self.answer_all)
                 case api.FleetSize(gateways):  # shares follow the living; turns keep to the numbers of all
                     self.gateways = gateways
                 case api.TimerFired(token) if token in self.timers:
@@ -507,6 +507,10 @@
             self.actions.append(api.Refuse(query.id, wait) if harmless else api.Fail(query.id))
             self.close(query, now)
 
+    def answer_all(self, now: int) -> None:
+        for query in list(self.queries.values()):
+            self.answer(query, now)
+
     def close(self, query: Query, now: int, keep: int = -1) -> None:
         query.done = True
         query.cls.present.pop(query.id, None)
--- a/martenkeel/interface.py
+++ b/martenkeel/interface.py
@@ -314,7 +314,9 @@
 
 @dataclass(slots=True, frozen=True)
 class Ending:
-    """The process may be killed soon: what is open gets its final answer now."""
+    """The process may be killed soon after ``by_us``: until then all that is open gets its final answer."""
+
+    by_us: int
 
 
 Event: TypeAlias = (
--- a/martenkeel/state.py
+++ b/martenkeel/state.py
@@ -350,16 +350,18 @@
         self.lines, self.line, self.peers = KeyLines(), Line(), Peers()
         self.taken, self.extras = Window(), Window()  # queries taken, further attempts
         self.actions: list[api.Action] = []
+        self.ends_by: int | None = None
 
     def take(self, event: api.QueryArrived, now: int) -> Query:
         """The record of a query that has come."""
         cls = self.classes[event.service_class]
         told = float(event.told_cost_us or cls.told.value() or cls.spec.aim_us)
+        deadline = now + event.expires_in_us
         query = Query(
             event.query,
             cls,
             now,
-            now + event.expires_in_us,
+            deadline if self.ends_by is None else min(deadline, self.ends_by),
             told,
             told * cls.bias.value(1.0),
             event.group,
@@ -372,6 +374,12 @@
         cls.largest = max(cls.largest, query.cost)
         return query
 
+    def end_by(self, by: int) -> None:
+        """The process ends: no query, open or new, has longer than that."""
+        self.ends_by = by
+        for query in self.queries.values():
+            query.deadline = min(query.deadline, by)
+
     def follow(self, event: api.EngineList) -> None:
         """An engine off a whole list gets nothing but is kept: its attempts and charges still count."""
         if event.kind in (api.ListKind.FULL, api.ListKind.CACHED):
--- a/slipbay/back/http.py
+++ b/slipbay/back/http.py
@@ -159,6 +159,8 @@
             ("X-Budget", str(max(1, left // 1000))),
             ("X-Urgency", str(request.priority)),
         ]
+        if request.replay_key:
+            headers.append(("X-Replay-Key", request.replay_key))
         if request.grant_mb > 0:
             headers.append(("X-Allot", f"{request.grant_mb:.0f}"))
         assert isinstance(request.work, bytes)
--- a/slipbay/core/router.py
+++ b/slipbay/core/router.py
@@ -156,6 +156,7 @@
     is_write: bool = False
     handle: int = 0  # what its client knows it by
     size: int = 0  # bytes of its work
+    replay_key: str = ""  # the client's, by which engines drop repeats; passed on as it is
     key: bytes = b""  # under which it never runs twice; "" for requests that may
     digest: bytes = b""  # tells one statement under a key from another
     named: bool = False  # the client may come back under the key
--- a/slipbay/front/jsonrpc.py
+++ b/slipbay/front/jsonrpc.py
@@ -171,6 +171,7 @@
             params.is_repeat,
             handle=id,
             size=len(params.statement),
+            replay_key=params.replay_key,
         )
         if has_key:
             request.key, request.named, request.resent = key_of(params.txn), True, params.is_repeat
--- a/slipbay/run.py
+++ b/slipbay/run.py
@@ -318,7 +318,7 @@
             self.timers.after(LINGER_US, self._leave)
             longest = max(spec.deadline_us for spec in self.config.settings.classes)
             patience = max(0, min(longest, KILL_US) - LAST_WORD_US)
-            self.timers.after(LINGER_US + patience, lambda: self.core.tell(api.Ending()))
+            self.core.tell(api.Ending(self.clock.now() + LINGER_US + patience))
 
     def _leave(self) -> None:
         self.server.on_empty = self.core.idle = self._maybe_done
--- a/slipbay/wire/jsonrpc.py
+++ b/slipbay/wire/jsonrpc.py
@@ -16,6 +16,7 @@
 
 MOST_LIMIT_MS = 24 * 3600 * 1000
 _TXN = re.compile(r"[0-9a-fA-F]{16}")
+_REPLAY_KEY = re.compile(r"[!-~]{1,200}")  # what an engine's header can carry unchanged
 
 
 class Problem(Exception):
@@ -44,6 +45,7 @@
     cost_us: int | None
     memory_mb: float
     statement: bytes
+    replay_key: str = ""  # by which engines drop repeats, where the class is of that kind
 
 
 def _is_id(value: object) -> bool:
@@ -90,6 +92,9 @@
         return value
 
     txn, limit, data = text("txn"), number("limit", MOST_LIMIT_MS), text("data")
+    replay_key = text("unique") or ""
+    if replay_key and not _REPLAY_KEY.fullmatch(replay_key):
+        raise Problem(call.id, INVALID_PARAMS, "unique is up to 200 visible ASCII characters")
     if txn is None or not _TXN.fullmatch(txn):
         raise Problem(call.id, INVALID_PARAMS, "txn is 16 hex digits")
     if limit is None:
@@ -109,6 +114,7 @@
         None if cpu is None else int(cpu * 1000),
         number("ram", 1e9) or 0.0,
         statement,
+        replay_key,
     )
 
 
--- a/tests/exchange_models.py
+++ b/tests/exchange_models.py
@@ -73,6 +73,7 @@
             service_class=0,
             priority=1,
             grant_mb=0.0,
+            replay_key="",
             expires_in_us=expires_in_us,
             deadline=now + expires_in_us,
             work=work,
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -45,6 +45,26 @@
     run(test)
 
 
+def test_the_key_by_which_engines_drop_repeats_is_passed_on_unchanged() -> None:
+    """Seen with a variant of our own whose class is of that kind: engines got requests without it."""
+
+    async def test() -> None:
+        engine = StandInEngine()
+        async with Loopback(engine) as net:
+            client = await net.client()
+            client.query("lookup", unique="A/7+x=")
+            assert "result" in await client.answer()
+            client.query("lookup")
+            assert "result" in await client.answer()
+            posts = engine.named("POST")
+            assert [call.headers.get("x-replay-key") for call in posts] == ["A/7+x=", None]
+            client.query("lookup", unique="two\r\nX-Sort: report")
+            assert (await client.answer())["error"]["code"] == -32602
+            assert len(engine.named("POST")) == 2
+
+    run(test)
+
+
 def test_a_cut_connection_does_not_end_a_query() -> None:
     """Guards against taking a reset for the end: the query runs on, and is asked for on a new connection."""
 
