--- a/slipbay/back/http.py
+++ b/slipbay/back/http.py
@@ -429,7 +429,8 @@
             return
 
         def responded(response: http1.Response) -> None:
-            if response.status != 204:  # the second answer to an earlier call, and no word on this one
+            unknown = response.status == 500 and not connection.doubtful  # it runs no more
+            if response.status != 204 and not unknown:  # the second answer to an earlier call
                 connection.expect(responded, cut)
                 return
             late.cancel()
@@ -442,7 +443,7 @@
             self._delete_again()
 
         late = self._back.timers.after(TRANSIT_US, connection.abort)
-        connection.call(http1.request("DELETE", self._path, self._pool_host()), responded, cut)
+        connection.call(http1.request("DELETE", self._path, self._pool_host()), responded, cut, caller=self)
 
     def _undeletable(self, trouble: Trouble) -> None:
         self._delete_wait = None
