--- a/slipbay/back/http.py
+++ b/slipbay/back/http.py
@@ -34,7 +34,9 @@
 
     answered_at = 0  # when its last answer had come whole
     caller: object = None  # whose call it carries or carried last
-    doubtful = False  # an answer now may be the second one to a call of another caller
+    before: http1.Response | None = None  # the last answer to another caller's call
+    last: http1.Response | None = None
+    doubtful = False  # what came may be the second answer to another caller's call
 
     def __init__(self, pool: Pool[PooledStream]) -> None:
         super().__init__(pool)
@@ -58,13 +60,13 @@
         caller: object = None,
     ) -> None:
         self._responded, self._cut, self.due = responded, cut, due
-        self.doubtful = caller is not self.caller and bool(self.answered_at)
+        self.before = self.last if caller is not self.caller else None
         self.caller = caller
         self.write(request)
 
     def expect(self, responded: Callable[[http1.Response], None], cut: Callable[[], None]) -> None:
         """What came was no answer to the call that it carries: that one may follow."""
-        self._responded, self._cut, self.doubtful = responded, cut, False
+        self._responded, self._cut, self.before = responded, cut, None
 
     def abandon(self, due: int) -> None:
         """Its answer matters to nobody; with it the connection is free again."""
@@ -90,8 +92,9 @@
         elif response is not None:
             self._responded = self._cut = None
             now = self.pool.now()
-            self.doubtful &= now - self.answered_at < REST_US
-            self.answered_at = now
+            copied = response.status != 200 or self.before is not None and response.same(self.before)
+            self.doubtful = self.before is not None and copied and now - self.answered_at < REST_US
+            self.answered_at, self.last = now, response
             responded(response)
 
     def ended(self) -> None:
@@ -283,8 +286,9 @@
                 self._finish(self._stopping or Outcome.ERROR)
 
     def _doubt(self, connection: HttpConnection) -> None:
-        """The answer may be the second one to an earlier call on this connection, for another query: wait for
-        the next one here, and ask elsewhere, as an engine gives a good end again."""
+        """The answer may be the second one to an earlier call on this connection, for another query, as it
+        came soon after that one's and is the same, or would prove an end: wait for the next one here, and ask
+        elsewhere, as an engine gives a good end again."""
         log("engine", "an answer came too soon after another; asking again", engine=self._pool.engine)
         connection.expect(lambda response: self._responded(connection, response), self._cut)
         if self._wait is None and self._stopping is None:
--- a/slipbay/wire/http1.py
+++ b/slipbay/wire/http1.py
@@ -19,6 +19,10 @@
     body: bytes
     keep: bool = True  # the connection serves further calls
 
+    def same(self, other: Response) -> bool:
+        """Whether both say the same, whatever becomes of their connections."""
+        return (self.status, self.headers, self.body) == (other.status, other.headers, other.body)
+
 
 def request(
     method: str, path: str, host: str, headers: Iterable[tuple[str, str]] = (), body: bytes | None = None
