Let lingering connections not hold up evictions, nor drips the end of a router

1. closes_next_turn asked Stream.closing, which is true of a half-closed connection as well, so while one lingered, up to 250 ms, no other idle client was evicted (front/server.py, _check_room). While draining, every byte that came counted as activity, so a client that drips a message that never ends was not closed as idle any more. Only whole messages and answers count, as before.

--- a/slipbay/front/jsonrpc.py
+++ b/slipbay/front/jsonrpc.py
@@ -198,6 +198,7 @@
                 self.write(jsonrpc.error(id, jsonrpc.INVALID_PARAMS, reason))
             case Failed(reason):
                 self.write(jsonrpc.error(id, jsonrpc.FAILED, reason))
+        self.touch()
         self.close_if_drained()
 
     def departed(self) -> None:
--- a/slipbay/front/mysql.py
+++ b/slipbay/front/mysql.py
@@ -499,6 +499,7 @@
                 self._carry_out(*self._waiting.popleft())
         except mysql.MalformedPacket as problem:
             self._last_word(0, mysql.ER_MALFORMED_PACKET, str(problem))
+        self.touch()
         self.close_if_drained()
 
     def departed(self) -> None:
--- a/slipbay/front/server.py
+++ b/slipbay/front/server.py
@@ -181,9 +181,8 @@
 
     def _close_lingering(self, connection: ClientConnection) -> None:
         if connection.unsent and not connection.lost:
-            self._timers.after(
-                LINGER_US, lambda: self._close_lingering(connection)
-            )  # the sweep cuts off slow readers
+            # the sweep cuts off slow readers
+            self._timers.after(LINGER_US, lambda: self._close_lingering(connection))
         else:
             connection.close()
 
@@ -259,7 +258,7 @@
     @property
     def closes_next_turn(self) -> bool:
         """Whether its descriptor is free in the next turn."""
-        return self.transport is not None and self.closing and not self.unsent
+        return self.transport is not None and self.transport.is_closing() and not self.unsent
 
     def touch(self) -> None:
         """A whole message came, or a request was answered."""
@@ -292,9 +291,8 @@
             self.close_if_drained()
 
     def close_if_drained(self) -> None:
-        """A request was answered; on the way out the connection closes with its last one, but not in the
-        middle of a message: the rest of a slow writer's is on its way, and gets an answer too."""
-        self.touch()
+        """On the way out the connection closes with its last answer, but not in the middle of a message: the
+        rest of a slow writer's is on its way, and gets an answer too."""
         if self.server.draining and not (self.closing or self.busy or self.mid_message or self.unread()):
             self.close_gracefully()
 
--- a/tests/test_close_races.py
+++ b/tests/test_close_races.py
@@ -250,3 +250,31 @@
             client.close()
 
     run(test)
+
+
+class Busy:
+    """Stands in for a connection with an open request."""
+
+    busy, closes_next_turn = True, False
+
+
+def test_a_client_that_lingers_does_not_keep_others_from_being_evicted() -> None:
+    """Guards against a crowd of idle clients that gives way slowly, as each takes time to end its side."""
+
+    async def test() -> None:
+        async with Loopback(StandInEngine()) as net:
+            stubborn = await connect(net)
+            (first,) = net.router.server.connections
+            first.close_gracefully()
+            idle = await connect(net)
+            most = net.router.config.limits.client_sockets
+            others: list[Any] = [Busy() for _ in range(most)]
+            net.router.server.connections.update(others)
+            net.router.server._check_room()
+            net.router.server.connections.difference_update(others)
+            assert len(net.router.server.lingering) == 2
+            stubborn.close()
+            idle.close()
+            await until(lambda: not net.router.server.connections)
+
+    run(test)
