Wait for the next answer where one is doubted, in place of asking on a new connection

Now the next answer on the same connection is waited for; where none comes in the 50 ms of second answers, the engine is asked on that connection, where the question can't overtake the POST. Unknown there, a refusal stands as it was told. Answers that came in one read are all looked at.

--- a/slipbay/back/http.py
+++ b/slipbay/back/http.py
@@ -37,6 +37,7 @@
     before: http1.Response | None = None  # the last answer to another caller's call
     last: http1.Response | None = None
     doubtful = False  # what came may be the second answer to another caller's call
+    doubt_until = 0  # when that one's second answer would have come
 
     def __init__(self, pool: Pool[PooledStream]) -> None:
         super().__init__(pool)
@@ -80,22 +81,28 @@
 
     def received(self, data: bytes) -> None:
         self.pool.answered()
+        if self._responded is None:
+            self.abort()  # nobody asked for it
+            return
         try:
             response = self._responses.feed(data)
+            while response is not None:
+                self._answer(response)
+                response = self._responses.feed(b"") if self._responded is not None else None
         except http1.MalformedResponse as problem:
             log("engine", f"{problem}; the connection is closed", engine=self.pool.engine)
             self.abort()
-            return
-        responded = self._responded
-        if responded is None:
-            self.abort()  # nobody asked for it
-        elif response is not None:
-            self._responded = self._cut = None
-            now = self.pool.now()
-            copied = response.status != 200 or self.before is not None and response.same(self.before)
-            self.doubtful = self.before is not None and copied and now - self.answered_at < REST_US
-            self.answered_at, self.last = now, response
-            responded(response)
+
+    def _answer(self, response: http1.Response) -> None:
+        """The answer to the call has come whole."""
+        assert self._responded is not None
+        responded, self._responded, self._cut = self._responded, None, None
+        now = self.pool.now()
+        copied = response.status != 200 or self.before is not None and response.same(self.before)
+        self.doubtful = self.before is not None and copied and now - self.answered_at < REST_US
+        self.doubt_until = self.answered_at + REST_US
+        self.answered_at, self.last = now, response
+        responded(response)
 
     def ended(self) -> None:
         cut, self._cut, self._responded = self._cut, None, None
@@ -130,6 +137,7 @@
         self._unknown = False  # an engine that was away says it has no such query
         self._noted: tuple[HttpConnection, http1.Response] | None = None  # free until the decisions heard it
         self._troubles = 0  # answers that were spoilt, and connections that broke
+        self._doubted: http1.Response | None = None  # an answer that may be another's
         self._pages: list[bytes] = []
         self._sheets = 0
         self._over = False
@@ -173,7 +181,7 @@
 
     def _ask(self, connection: HttpConnection) -> None:
         """Ask for the news, or for the next page once the end is known."""
-        self._wait = None
+        self._wait = self._doubted = None
         if self._main is not None:  # it is silent, and this one has come up
             self._beside = not self._answered and self._within_hold
             self._main.abandon(self._asked + HOLD_US + TRANSIT_US)
@@ -246,8 +254,12 @@
 
     def _responded(self, connection: HttpConnection, response: http1.Response) -> None:
         if connection.doubtful and response.status != 202:
-            self._doubt(connection)
+            self._doubt(connection, response)
             return
+        doubted, self._doubted = self._doubted, None
+        unknown = response.status == 500 and connection is self._carrier
+        if doubted is not None and unknown and doubted.status != 200:
+            response = doubted  # what it said is so: the engine turned the query away
         if self._spoilt(response):
             log(
                 "engine",
@@ -285,14 +297,20 @@
             else:
                 self._finish(self._stopping or Outcome.ERROR)
 
-    def _doubt(self, connection: HttpConnection) -> None:
+    def _doubt(self, connection: HttpConnection, response: http1.Response) -> None:
         """The answer may be the second one to an earlier call on this connection, for another query, as it
-        came soon after that one's and is the same, or would prove an end: wait for the next one here, and ask
-        elsewhere, as an engine gives a good end again."""
-        log("engine", "an answer came too soon after another; asking again", engine=self._pool.engine)
-        connection.expect(lambda response: self._responded(connection, response), self._cut)
-        if self._wait is None and self._stopping is None:
-            self._wait = self._pool.acquire(self._ask, self._unreachable)
+        came soon after that one's and is the same, or would prove an end. The next one here is ours; where
+        none comes in the time of second answers, this one most likely was, and the engine is asked."""
+        log("engine", "an answer came soon after another; waiting for the next", engine=self._pool.engine)
+        self._doubted = response
+        connection.expect(lambda next: self._responded(connection, next), self._cut)
+        self._back.timers.at(connection.doubt_until, lambda: self._confirm(connection, response))
+
+    def _confirm(self, connection: HttpConnection, doubted: http1.Response) -> None:
+        """On the same connection, where the question can't overtake the POST: an engine gives a good end
+        again, and of what it turned away it knows nothing."""
+        if self._main is connection and self._doubted is doubted and not (self._over or self._stopping):
+            self._call(connection, http1.request("GET", f"{self._path}/0", self._pool_host()))
 
     def _spoilt(self, response: http1.Response) -> bool:
         """Whether it is no answer that an engine makes to our call: a copy of another, or a page cut off."""
--- a/tests/test_engine_races.py
+++ b/tests/test_engine_races.py
@@ -74,6 +74,36 @@
     run(test)
 
 
+def test_a_refusal_soon_after_another_s_answer_is_still_a_proof(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a load that fails, though the engine turned it away, as its refusal came quickly."""
+    monkeypatch.setattr(http, "REST_US", 300_000)
+    turned_away: list[str] = []
+
+    async def script(call: HttpCall, writer: asyncio.StreamWriter) -> bytes | None:
+        if call.method == "POST" and call.body.startswith(b"INSERT") and not turned_away:
+            turned_away.append(call.headers["x-hop-id"])
+            return http_answer(503, X_No_Effect="1")
+        if call.method == "GET" and turned_away:
+            return http_answer(500)
+        page = SECOND if call.body.startswith(b"INSERT") else FIRST
+        return http_answer(200, page, X_Sheets="1")
+
+    async def test() -> None:
+        engines = [StandInEngine(script), StandInEngine(script)]
+        async with Loopback(*engines) as net:
+            client = await net.client()
+            group = 0
+            while not all(engine.calls for engine in engines):  # each has a connection that has answered
+                group += 1
+                assert await served(client, f"SELECT 1 FROM sales_{group}.orders") == FIRST
+            client.query("ticket-load", "INSERT INTO sales_1.tickets VALUES (1)", limit=20_000)
+            assert "result" in await client.answer()
+            posts = [call for engine in engines for call in engine.named("POST")]
+            assert sum(call.headers["x-hop-id"] == turned_away[0] for call in posts) == 2
+
+    run(test)
+
+
 def test_a_second_answer_does_not_stand_for_the_answer_to_a_delete() -> None:
     """Guards against an attempt that is held to be over, so that another begins beside it."""
     writers: list[asyncio.StreamWriter] = []
