Show that a MySQL write with two dashes runs twice when a connection drops in its reply

Cause: slipbay/wire/sql.py takes two dashes for a comment whatever follows, MySQL only before white space. What follows base--1 is hidden from the router, UPDATE too, so the write gets the class of reads and is repeated.

--- a/review/mysql_support.py
+++ b/review/mysql_support.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import hashlib
+import re
 import struct
 import time
+from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
@@ -18,8 +20,12 @@
 EOF = b"\xfe\0\0\2\0"
 UNKNOWN_THREAD = b"\xff" + struct.pack("<H", 1094) + b"#HY000Unknown thread id"
 COM_QUIT, COM_QUERY, COM_PING = 1, 3, 14
+COM_STMT_PREPARE, COM_STMT_EXECUTE, COM_STMT_CLOSE = 0x16, 0x17, 0x19
+STRING_TYPE = b"\xfd\0"
+TAG = re.compile(rb"tag-[a-z0-9-]+")  # in each statement or its values: the request that it belongs to
 # protocol 4.1, transactions, secure connection, plugin authentication; a schema may be named
 CLIENT_FLAGS = 0x00288201
+REFUSED = 9503  # the router's refusal
 ROWS_AT_ONCE = 36 * 256  # so that the sequence numbers of each block are the same
 
 
@@ -73,6 +79,8 @@
         self._record = record
         self._work_s = work_s
         self._is_spoilt = is_spoilt
+        self.is_cut: Callable[[bytes], bool] = lambda _tag: False  # whether a reply breaks off
+        self.executed: Counter[bytes] = Counter()  # by tag: how often its statement ran to its end
         self._threads: dict[int, asyncio.StreamWriter] = {}
         self._last_thread = 0
         self.port = 0
@@ -81,10 +89,24 @@
         self._server = await asyncio.start_server(self._serve, HOST, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def entry(self) -> dict[str, object]:
+        """Its entry in the list of engines."""
+        return {
+            "host": self.name,
+            "dial": f"{HOST}:{self.port}",
+            "site": "room-a",
+            "class": "std-8",
+            "block": 0,
+            "health": "SERVING",
+            "share": 1,
+            "born_ms": 0,
+        }
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._last_thread += 1
         thread = self._last_thread
         self._threads[thread] = writer
+        statements: dict[int, bytes] = {}
         with suppress(OSError, asyncio.IncompleteReadError):
             writer.write(packet(0, greeting(thread)))
             sequence, _ = await read_packet(reader)
@@ -93,11 +115,13 @@
                 _, command = await read_packet(reader)
                 if command[0] == COM_QUIT:
                     break
-                await self._command(command, writer)
+                await self._command(command, writer, statements)
         self._threads.pop(thread, None)
         writer.transport.abort()
 
-    async def _command(self, command: bytes, writer: asyncio.StreamWriter) -> None:
+    async def _command(
+        self, command: bytes, writer: asyncio.StreamWriter, statements: dict[int, bytes]
+    ) -> None:
         if command[0] == COM_PING:
             writer.write(packet(1, OK))
         elif command[1:].startswith(b"KILL "):
@@ -107,9 +131,34 @@
             writer.write(packet(1, UNKNOWN_THREAD if victim is None else OK))
         elif command[0] == COM_QUERY:
             await self._run(command[1:], writer)
-        else:
+        elif command[0] == COM_STMT_PREPARE:
+            number = len(statements) + 1
+            statements[number] = command[1:]
+            count = command.count(b"?")
+            head = b"\0" + struct.pack("<IHHxH", number, 0, count, 0)
+            writer.write(packets(1, head, *[column(b"?")] * count, *[EOF] * bool(count)))
+        elif command[0] == COM_STMT_EXECUTE:
+            statement = statements[struct.unpack("<I", command[1:5])[0]]
+            await self._execute(statement, command[10:], writer)
+        elif command[0] != COM_STMT_CLOSE:
             raise OSError("a command that no client here sends")
 
+    async def _execute(self, statement: bytes, values: bytes, writer: asyncio.StreamWriter) -> None:
+        """Run a prepared statement that writes; its reply may break off after a few bytes."""
+        found = TAG.search(values)
+        if found is None:
+            raise OSError("an execution without its tag")
+        tag = found[0]
+        await asyncio.sleep(self._work_s)
+        self.executed[tag] += 1
+        self._record.add(f"engine {self.name}: has run {tag.decode()}: {statement.decode()}")
+        reply = packet(1, b"\0\1\0\2\0\0\0")
+        if self.is_cut(tag):
+            self._record.add(f"engine {self.name}: its connection drops in the reply to {tag.decode()}")
+            writer.write(reply[:6])
+            raise OSError("the connection drops")
+        writer.write(reply)
+
     async def _run(self, statement: bytes, writer: asyncio.StreamWriter) -> None:
         self._record.add(f"engine {self.name}: runs {statement.decode()}")
         is_spoilt = self._is_spoilt(statement)
@@ -159,6 +208,34 @@
         self._record.add(f"client {self.name}: gets for {statement.decode()}: {answer}", time.time())
         return answer
 
+    async def prepare(self, statement: bytes) -> int:
+        """The number of a prepared statement."""
+        while True:
+            self._writer.write(packet(0, bytes([COM_STMT_PREPARE]) + statement))
+            _, payload = await read_packet(self._reader)
+            if payload[0] != 0xFF or struct.unpack("<H", payload[1:3])[0] != REFUSED:
+                break
+            await asyncio.sleep(0.3)
+        if payload[0] == 0xFF:
+            raise OSError(f"a statement can't be prepared: {payload!r}")
+        number, columns, parameters = struct.unpack("<IHH", payload[1:9])
+        for count in (parameters, columns):
+            for _ in range(count + bool(count)):
+                await read_packet(self._reader)
+        return int(number)
+
+    async def execute(self, number: int, tag: bytes) -> str:
+        """Run a prepared statement with one value; ``served``, ``error CODE`` or ``cut``."""
+        self._record.add(f"client {self.name}: executes {tag.decode()}")
+        values = struct.pack("<IBI", number, 0, 1) + b"\0\1" + STRING_TYPE + text(tag)
+        self._writer.write(packet(0, bytes([COM_STMT_EXECUTE]) + values))
+        try:
+            answer = await self._answer()
+        except (OSError, asyncio.IncompleteReadError):
+            answer = "cut"
+        self._record.add(f"client {self.name}: gets for {tag.decode()}: {answer}", time.time())
+        return answer
+
     async def _answer(self) -> str:
         _, payload = await read_packet(self._reader)
         if payload[0] == 0xFF:
