--- a/review/support.py
+++ b/review/support.py
@@ -83,7 +83,7 @@
     }
 
 
-def settings(classes: list[dict[str, Any]], load: str, **changes: Any) -> dict[str, Any]:
+def settings(classes: list[dict[str, Any]], load: str, priorities: bool = True) -> dict[str, Any]:
     """Settings of one router before a few engines of eight cores; ``load`` names the class of loads."""
     return {
         "balancers": 1,
@@ -118,7 +118,7 @@
             "isLoad": [entry["name"] == load for entry in classes],
             "blockedByLoads": [False for _ in classes],
             "memoryHeeded": True,
-            "lanesCount": True,
+            "lanesCount": priorities,
             "progressUs": 1_000_000,
             "grantCap": 0.4,
         },
@@ -135,7 +135,6 @@
             "rampTimeUs": 13_000_000,
             "repeatRatio": 0.2,
         },
-        **changes,
     }
 
 
@@ -250,8 +249,9 @@
 
     ends_s: float
     asked_s: float
+    rows: bytes
+    fails: bool = False
     is_over: bool = False
-    rows: bytes = b""
 
 
 class HttpEngine:
@@ -262,8 +262,12 @@
         self.name = name
         self._record = record
         self._work_s = work_s
-        # s after which the first page of an answer comes a second time; 0: it does not
-        self.copy_after_s: Callable[[], float] = lambda: 0.0
+        # s after which an answer, known by its head, comes a second time; 0: it does not
+        self.copy_after_s: Callable[[bytes], float] = lambda _answer: 0.0
+        # whether it is full for a POST, as others use its sessions; and whether a query ends with an error
+        self.is_full: Callable[[], bool] = lambda: False
+        self.ends_with_error: Callable[[str], bool] = lambda _class: False
+        self.executed: Counter[str] = Counter()  # by id: how often it was taken up
         self.rows_by_class: dict[str, int] = {}  # 1 where a class is not named
         self._writers: set[asyncio.StreamWriter] = set()
         self.posts: list[tuple[float, str, str]] = []  # Unix time of the first byte seen, id, class
@@ -324,7 +328,7 @@
                 await reader.readexactly(int(headers.get("content-length", 0)))
                 answer = await self._answer(method, path, headers, began_s)
                 writer.write(answer)
-                if b"X-Sheets" in answer and (copy_after_s := self.copy_after_s()):
+                if copy_after_s := self.copy_after_s(answer):
                     txn = headers.get("x-hop-id") or path.split("/")[2]
                     loop = asyncio.get_running_loop()
                     loop.call_later(copy_after_s, self._send_copy, writer, answer, txn)
@@ -333,19 +337,27 @@
 
     def _send_copy(self, writer: asyncio.StreamWriter, answer: bytes, txn: str) -> None:
         if not writer.transport.is_closing():
-            self._record.add(f"engine {self.name}: the first page of {txn} comes a second time")
+            self._record.add(f"engine {self.name}: an answer to {txn} comes a second time: {answer[:12]!r}")
             writer.write(answer)
 
     async def _answer(self, method: str, path: str, headers: dict[str, str], began_s: float) -> bytes:
         if path in ("/ping", "/stats"):
             return _http(200)
+        if method == "POST" and self.is_full():
+            self._record.add(
+                f"engine {self.name}: full for {headers['x-hop-id']} {headers['x-sort']}", began_s
+            )
+            return _http(503, b"", "X-No-Effect: 1")
         if method == "POST":
             txn = headers["x-hop-id"]
+            self.executed[txn] += 1
             self.posts.append((began_s, txn, headers["x-sort"]))
             self._record.add(f"engine {self.name}: POST {txn} {headers['x-sort']}", began_s)
             now = time.monotonic()
             rows = self.rows_of(txn, self.rows_by_class.get(headers["x-sort"], 1))
-            self._queries[txn] = Execution(now + self._work_s[headers["x-sort"]], now, rows=rows)
+            self._queries[txn] = Execution(
+                now + self._work_s[headers["x-sort"]], now, rows, self.ends_with_error(headers["x-sort"])
+            )
         else:
             txn = path.split("/")[2]
         query = self._queries.get(txn)
@@ -364,7 +376,10 @@
             return _http(202)
         if not query.is_over:
             query.is_over = True
-            self._record.add(f"engine {self.name}: {txn} ran to its end")
+            how = "and ends with an error" if query.fails else "to its end"
+            self._record.add(f"engine {self.name}: {txn} ran {how}")
+        if query.fails:
+            return _http(500)
         pages = self._pages_of(query.rows)
         number = int(path.split("/")[3]) if method == "GET" else 0
         if number >= len(pages):
