--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,4 +2,7 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 test -x .venv/bin/python || exit 2
-exec timeout -k 5 115 .venv/bin/python -B review/3/case.py
+timeout -k 5 110 .venv/bin/python -B review/3/case.py
+code=$?
+test "$code" -le 2 || code=2
+exit "$code"
--- a/review/support.py
+++ b/review/support.py
@@ -179,7 +179,7 @@
                 writer.write(b'{"pos":%d}\n' % self.position)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with suppress(OSError, asyncio.IncompleteReadError, ValueError):
+        with suppress(OSError, asyncio.IncompleteReadError, ValueError, asyncio.CancelledError):
             words = (await reader.readline()).split()
             if len(words) == 2 and words[0] == b"tail":
                 self._record.add(f"journal: a router asks: {b' '.join(words).decode()}")
@@ -317,7 +317,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
-        with suppress(OSError, asyncio.IncompleteReadError):
+        with suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):  # the case ends
             while True:
                 first_byte = await reader.readexactly(1)
                 began_s = time.time()
@@ -603,6 +603,7 @@
     record = Record()
     record.add("the disruption is played" if has_trouble() else "TROUBLE=0: without the disruption")
     code = COULD_NOT_RUN
+    signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(COULD_NOT_RUN))  # then all is ended below
     try:
         with tempfile.TemporaryDirectory() as temporary:
             code = asyncio.run(play(record, Path(temporary)))
