Write each case's record from its own folder, however the case ends

Cause: the shared support wrote record.txt, so that no case named it; a case that was ended early wrote none, and an error that the support did not expect would have ended with 1, which says that the rule was broken.

Plays and checks are the same.

--- a/review/support.py
+++ b/review/support.py
@@ -598,8 +598,8 @@
 Play = Callable[[Record, Path], Awaitable[int]]
 
 
-def run_case(play: Play, folder: Path) -> None:
-    """Play a case, write its record and exit with its code."""
+def run_case(play: Play, record_file: Path) -> None:
+    """Play a case, write its record to ``record_file``, however it ends, and exit with its code."""
     record = Record()
     record.add("the disruption is played" if has_trouble() else "TROUBLE=0: without the disruption")
     code = COULD_NOT_RUN
@@ -607,9 +607,10 @@
     try:
         with tempfile.TemporaryDirectory() as temporary:
             code = asyncio.run(play(record, Path(temporary)))
-    except (CaseError, OSError) as problem:
+    except Exception as problem:  # a fault of the case is no broken rule
         record.add(f"the case could not run: {type(problem).__name__}: {problem}")
-        print(f"could not run: {problem}", file=sys.stderr)
-    record.add(f"exit code {code}")
-    record.write(folder / "record.txt")
+        print(f"could not run: {type(problem).__name__}: {problem}", file=sys.stderr)
+    finally:
+        record.add(f"exit code {code}")
+        record.write(record_file)
     sys.exit(code)
