Inspect statements in time that grows with their length alone

What callers saw: one client's statement of 40,000 bytes whose string literal is cut off stopped the router for some 20 s.

Cause: the pattern of a quoted name matches nothing when the name has no end, but only after it has read to the end of the statement; each further escaped quote is then tried as the start of a name. So the time grows with the square of the length. Ruled out, each measured at three lengths: backticks, comments, qualified names, white space before dots, variables, schema suffixes.

A second effect of patterns that backtrack: each character of a literal is kept for a second try. A plain string of 1 MiB, as a MySQL client may send it, took 172 MB, and qualified names of 96,000 bytes 25 MB, over the limits that the router has to hold.

Change: repetitions are possessive, and a scan ends at a literal that has no end, as nothing behind it can be a token; so no text is read twice, in constant memory. Tokens of no interest are passed over by the pattern and no longer by a loop. A statement that is cut off is uncertain and so no read. Nothing is looked at for one form of statement, and no length is limited.

--- a/slipbay/frontends/mysql.py
+++ b/slipbay/frontends/mysql.py
@@ -60,21 +60,6 @@
         "declare",
     )
 )
-SESSION_KEYWORDS = frozenset(
-    (
-        "temporary",
-        "get_lock",
-        "release_lock",
-        "release_all_locks",
-        "is_free_lock",
-        "is_used_lock",
-        "last_insert_id",
-        "found_rows",
-        "row_count",
-        "connection_id",
-        "sql_calc_found_rows",
-    )
-)
 IGNORED_SETS = frozenset(
     (
         "set names utf8",
@@ -437,7 +422,7 @@
         )
 
     def _check_statement(self, sequence: int, text: str, outline: sql.Outline) -> bool:
-        words = sorted(outline.words & SESSION_KEYWORDS)
+        words = sorted(outline.words & sql.SESSION_WORDS)
         key = sql.hints(text, self._frontend.mysql.hint).get("key", "?")
         if not 0 < len(key.encode()) <= MAX_KEY_BYTES:
             self._error(sequence, mysql.ER_WRONG_ARGUMENTS, f"A key has 1 to {MAX_KEY_BYTES} bytes")
--- a/slipbay/wire/sql.py
+++ b/slipbay/wire/sql.py
@@ -1,66 +1,136 @@
-"""Inspects SQL statements with a tokenizer, without a grammar: table group, verb, hints."""
+"""Inspects SQL statements without a grammar: table group, kind of statement, hints.
+
+Statements come from clients and are inspected in the event loop. For any text, well formed or not, the time
+must grow no faster than its length, and memory must stay constant. Repetitions in the patterns are possessive
+(``*+``), so nothing is tried a second time. A scan ends at a string, quoted name or comment that has no end,
+so the text behind it is not read again from each quote in it.
+"""
 
 from __future__ import annotations
 
 import re
+from collections.abc import Iterable
 from dataclasses import dataclass
+from functools import lru_cache
+from itertools import islice
+
+# A list of columns looks like a list of tables; MySQL allows 4,096 columns in a table
+MAX_TABLE_POSITIONS = 5000
+MAX_NAME_PARTS = 4  # catalog, schema, table, column
+
+KEYWORDS_BEFORE_TABLES = ("from", "join", "into", "update", "table")
+KEYWORDS_WITHIN_TABLES = ("as", "only", "lateral", "ignore", "low_priority", "if", "exists")
+KEYWORDS_AFTER_TABLES = ("where", "set", "on", "group", "order", "values", "select", "having")
+
+READ_VERBS = frozenset(("select", "show", "explain", "describe", "desc", "table", "values", "with"))
+LOCKING_WORDS = frozenset(("into", "update", "share"))  # a SELECT with one of them writes or locks
+WRITE_WORDS = frozenset(("insert", "delete", "replace"))  # the statement behind a WITH writes
+SESSION_WORDS = frozenset(  # they depend on the state of a session, or change it
+    (
+        "temporary",
+        "get_lock",
+        "release_lock",
+        "release_all_locks",
+        "is_free_lock",
+        "is_used_lock",
+        "last_insert_id",
+        "found_rows",
+        "row_count",
+        "connection_id",
+        "sql_calc_found_rows",
+    )
+)
+
+# Parts of patterns, all for re.VERBOSE and re.DOTALL
+_STRING = r"'(?:[^'\\]++|\\.|'')*+'"
+_DOUBLE_QUOTED = r'"(?:[^"\\]++|\\.|"")*+"'
+_BACKTICKED = r"`(?:[^`]++|``)*+`"
+_LINE_COMMENT = r"(?:--|\#)[^\n]*+"
+_BLOCK_COMMENT = r"/\*.*?\*/"
+_SYSTEM_VARIABLE = r"@@[\w$.`]++"
+_USER_VARIABLE = r"@[\w$.`]++"
+_LONE_MARK = r"/+(?!\*) | -(?!-) | @+(?!@?[\w$.`])"
+_WORD = r"[A-Za-z_][\w$]*+"
+_NAME_PART = rf"(?:{_WORD}|{_BACKTICKED}|{_DOUBLE_QUOTED})"
+_NAME = rf"{_NAME_PART}(?:\s*+\.\s*+(?:{_NAME_PART}|\*))*+"
+_NOT_QUALIFIED = r'(?!\s*+\.\s*+[A-Za-z_`"*])'
+
 
-_TOKEN_PATTERN = re.compile(
-    r"""
-    (?P<comment>--[^\n]*|\#[^\n]*|/\*.*?(?:\*/|\Z))
-  | (?P<string>'(?:[^'\\]|\\.|'')*(?:'|\Z))
-  | (?P<variable>@@?[\w$.`]+)
-  | (?P<name>(?:[A-Za-z_][\w$]*|`(?:[^`]|``)*`|"(?:[^"\\]|\\.|"")*")
-       (?:\s*\.\s*(?:[A-Za-z_][\w$]*|`(?:[^`]|``)*`|"(?:[^"\\]|\\.|"")*"|\*))*)
-  | (?P<mark>[(),;])
-""",
-    re.X | re.S,
+def _keyword(words: Iterable[str]) -> str:
+    """The pattern of a word of ``words`` that is not a part of a longer or a qualified name."""
+    return rf"(?i:{'|'.join(words)})(?![\w$]){_NOT_QUALIFIED}"
+
+
+def _scanner(ignored: Iterable[str], wanted: str, wanted_mark: str = "") -> re.Pattern[str]:
+    """A pattern that passes over ``ignored`` tokens and ends with the first ``wanted`` one.
+
+    White space, digits and marks that begin no token are always ignored, but for ``wanted_mark``.
+    """
+    plain = rf"[^'\"`\#/\-@A-Za-z_{wanted_mark}]*+"
+    tokens = " | ".join((*ignored, _LONE_MARK, _STRING, _LINE_COMMENT, _SYSTEM_VARIABLE))
+    return re.compile(rf"{plain}(?:(?:{tokens}){plain})*+(?:{wanted})", re.VERBOSE | re.DOTALL)
+
+
+_BEFORE_TABLE = _keyword(KEYWORDS_BEFORE_TABLES)
+_WITHIN_TABLES = _keyword(KEYWORDS_WITHIN_TABLES)
+_AFTER_TABLES = _keyword(KEYWORDS_AFTER_TABLES)
+_TABLE_KEYWORD = _scanner((rf"(?!{_BEFORE_TABLE}){_NAME}", _BLOCK_COMMENT, _USER_VARIABLE), _BEFORE_TABLE)
+_NEXT_IN_TABLE_LIST = _scanner(
+    (rf"(?!{_BEFORE_TABLE}|{_AFTER_TABLES}){_NAME}", _BLOCK_COMMENT, _USER_VARIABLE),
+    rf",|{_BEFORE_TABLE}|(?P<list_end>{_AFTER_TABLES})",
+    wanted_mark=",",
+)
+_TABLE_NAME = _scanner(
+    (_BEFORE_TABLE, _WITHIN_TABLES, _BLOCK_COMMENT, _USER_VARIABLE),
+    rf"(?P<name>{_NAME})|\)",
+    wanted_mark=")",
+)
+_NAME_PARTS = re.compile(rf"{_NAME_PART}|\*", re.VERBOSE | re.DOTALL)
+_SCHEMA = re.compile(r"(\w*)_(\d{1,9})")
+
+_VERB = _scanner(
+    (rf"(?!{_WORD}{_NOT_QUALIFIED}){_NAME}", _BLOCK_COMMENT, _USER_VARIABLE), rf"(?P<verb>{_WORD})"
+)
+_SIGNIFICANT_WORD = _keyword((*LOCKING_WORDS, *WRITE_WORDS, *SESSION_WORDS))
+_SIGNIFICANT_TOKEN = _scanner(
+    (rf"(?!{_SIGNIFICANT_WORD}){_NAME}", rf"(?!/\*!){_BLOCK_COMMENT}"),
+    rf"(?P<word>{_SIGNIFICANT_WORD}) | (?P<code>/\*!.*?\*/) | (?P<variable>{_USER_VARIABLE}) | (?P<end>\Z)",
 )
-_NAME_PART_PATTERN = re.compile(r"""`(?:[^`]|``)*`|"(?:[^"\\]|\\.|"")*"|[^.\s]+""", re.S)
-_SCHEMA_PATTERN = re.compile(r"(\w*)_(\d{1,9})")
-_KEYWORDS_BEFORE_TABLES = {"from", "join", "into", "update", "table"}
-_KEYWORDS_WITHIN_TABLES = {"as", "only", "lateral", "ignore", "low_priority", "if", "exists"}
 
 
 def table_group(statement: str) -> int:
     """The table group of the first table in a schema with a numeric suffix; 0 if there is none.
 
     Only names in the position of a table count, as an alias such as ``t_1`` before a column looks the same.
+    The first ``MAX_TABLE_POSITIONS`` of them are read.
     """
-    expects_table = in_table_list = False
-    for token in _TOKEN_PATTERN.finditer(statement):
-        if token["name"] is not None:
-            name = token["name"]
-            keyword = name.lower()
-            if keyword in _KEYWORDS_BEFORE_TABLES:
-                expects_table = in_table_list = True
-            elif expects_table and keyword not in _KEYWORDS_WITHIN_TABLES:
-                expects_table = False
-                group = _group(name)
-                if group is not None:
-                    return group
-            elif in_table_list and keyword in (
-                "where",
-                "set",
-                "on",
-                "group",
-                "order",
-                "values",
-                "select",
-                "having",
-            ):
-                in_table_list = False
-        elif token["mark"] == "," and in_table_list:
-            expects_table = True
-        elif token["mark"] == ")":
-            expects_table = False
+    scanner = _TABLE_KEYWORD
+    position = 0
+    for _ in range(MAX_TABLE_POSITIONS):
+        found = scanner.match(statement, position)
+        if found is None:
+            return 0
+        position = found.end()
+        if found.lastgroup == "list_end":
+            scanner = _TABLE_KEYWORD
+            continue
+        scanner = _NEXT_IN_TABLE_LIST
+        table = _TABLE_NAME.match(statement, position)
+        if table is None:
+            return 0
+        position = table.end()
+        group = _group(table["name"] or "")
+        if group is not None:
+            return group
     return 0
 
 
 def _group(name: str) -> int | None:
-    parts = [part.strip('`"') for part in _NAME_PART_PATTERN.findall(name)]
+    if "_" not in name:
+        return None
+    parts = [part[0] for part in islice(_NAME_PARTS.finditer(name), MAX_NAME_PARTS)]
     for schema in parts[:-1]:
-        match = _SCHEMA_PATTERN.fullmatch(schema)
+        match = _SCHEMA.fullmatch(schema.strip('`"'))
         if match and match[1].lower() != "staging":
             return int(match[2])
     return None
@@ -71,38 +141,52 @@
     """Properties of a statement that its tokens show."""
 
     verb: str  # its first word, in lower case
-    words: frozenset[str]  # words outside of strings, comments and quoted names
+    words: frozenset[str]  # those of LOCKING_WORDS, WRITE_WORDS and SESSION_WORDS that it has
     has_variables: bool  # user variables, which are part of the session's state
     has_hidden_code: bool  # comments that the engine may run
+    is_cut_off: bool  # it ends within a string, a quoted name or a comment
 
     @property
     def is_read_only(self) -> bool:
         """Whether the statement only reads, so that it can be repeated; false if that is uncertain."""
-        if self.has_hidden_code or not self.words.isdisjoint(("into", "update", "share")):
+        if self.has_variables or self.has_hidden_code or self.is_cut_off:
+            return False
+        if not self.words.isdisjoint(LOCKING_WORDS):
             return False
         if self.verb == "with":
-            return self.words.isdisjoint(("insert", "delete", "replace"))
-        return self.verb in ("select", "show", "explain", "describe", "desc", "table", "values")
+            return self.words.isdisjoint(WRITE_WORDS)
+        return self.verb in READ_VERBS
 
 
 def outline(statement: str) -> Outline:
-    """Properties of a statement; its strings and comments are ignored."""
-    words: list[str] = []
-    has_variables = has_hidden_code = False
-    for token in _TOKEN_PATTERN.finditer(statement):
-        if token["comment"] is not None:
-            has_hidden_code |= token["comment"].startswith("/*!")
-        elif token["variable"] is not None:
-            has_variables |= not token["variable"].startswith("@@")
-        elif token["name"] is not None and token["name"].isidentifier():
-            words.append(token["name"].lower())
-    return Outline(words[0] if words else "", frozenset(words), has_variables, has_hidden_code)
+    """Properties of a statement; its strings and comments are ignored.
+
+    It is read up to the first user variable or comment with code: either decides that it is not served.
+    """
+    words: set[str] = set()
+    position = 0
+    while (token := _SIGNIFICANT_TOKEN.match(statement, position)) and token.lastgroup == "word":
+        words.add(token["word"].lower())
+        position = token.end()
+    verb = _VERB.match(statement)
+    return Outline(
+        verb["verb"].lower() if verb else "",
+        frozenset(words),
+        has_variables=token is not None and token.lastgroup == "variable",
+        has_hidden_code=token is not None and token.lastgroup == "code",
+        is_cut_off=token is None,
+    )
+
+
+@lru_cache(maxsize=8)
+def _hint_scanner(mark: str) -> re.Pattern[str]:
+    start = rf"/\*\s*+{re.escape(mark)}:*+(?=\s|\*/)"
+    return _scanner((_NAME, rf"(?!{start}){_BLOCK_COMMENT}", _USER_VARIABLE), rf"{start}(?P<options>.*?)\*/")
 
 
 def hints(statement: str, mark: str) -> dict[str, str]:
     """Hints in a comment: ``{"class": "report"}`` for ``/* mark: class=report */``."""
-    for token in _TOKEN_PATTERN.finditer(statement):
-        words = (token["comment"] or "").removeprefix("/*").removesuffix("*/").split()
-        if words and words[0].rstrip(":") == mark:
-            return dict(option.split("=", 1) for option in words[1:] if "=" in option)
-    return {}
+    hint = _hint_scanner(mark).match(statement)
+    if hint is None:
+        return {}
+    return dict(option.split("=", 1) for option in hint["options"].split() if "=" in option)
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -4,6 +4,8 @@
 
 import hashlib
 import json
+import time
+import tracemalloc
 from collections.abc import Callable
 from typing import Any
 
@@ -215,12 +217,85 @@
         ("/*! INSERT */ SELECT 1", False),
         ("", False),
         ("REPLACE INTO a", False),
+        ("SELECT 'a", False),
+        ('SELECT "a" FROM "b', False),
+        ("SELECT `a", False),
+        ("SELECT 1 /* a", False),
+        ("SELECT 'a\\", False),
+        ("SELECT @a", False),
     ],
 )
 def test_only_statements_without_side_effects_count_as_reads(statement: str, reads: bool) -> None:
     assert sql.outline(statement).is_read_only is reads
 
 
+ESCAPED_QUOTES = r"{\"tank\":\"T00042\",\"litres\":\"7\"},"
+REPEATED_TEXTS = {
+    "a quoted name without its end": ('INSERT INTO staging.t VALUES ("[', ESCAPED_QUOTES, ""),
+    "a string that ends with a backslash": ("SELECT '", r"\'", "\\"),
+    "a quoted name that ends with a backslash": ('SELECT "', r"\"", "\\"),
+    "a name in backticks without its end": ("SELECT `", "a``", "b"),
+    "a comment without its end": ("SELECT 1 ", "/* a ", ""),
+    "a qualified name without its end": ("SELECT ", 'a."\\"', ""),
+    "words": ("SELECT ", "from_x ", ""),
+    "keywords": ("SELECT ", "from ", ""),
+    "a list of tables": ("SELECT a FROM ", "staging_1.b, ", ""),
+    "a name with many parts": ("SELECT a FROM ", "staging_1.", "b"),
+    "white space before a dot that never comes": ("SELECT ", "a" + " " * 50, ""),
+    "user variables": ("SELECT ", "@", ""),
+    "slashes": ("SELECT ", "/", ""),
+    "hints": ("SELECT 1 ", "/* other: a=1 */", ""),
+}
+ANSWER_SLACK_S = 0.02  # `answerSlackUs`: by which an answer may come after its request's deadline
+MAX_JSON_STATEMENT_BYTES = 96_000  # base64 in a line of 128 KiB
+
+
+def repeated_text(kind: str, size: int) -> str:
+    start, repeated, end = REPEATED_TEXTS[kind]
+    return start + repeated * (size // len(repeated)) + end
+
+
+def inspect(statement: str) -> None:
+    sql.table_group(statement)
+    sql.outline(statement)
+    sql.hints(statement, "slipbay")
+
+
+def least_cpu_s(work: Callable[[], object]) -> float:
+    def cpu_s() -> float:
+        started_s = time.thread_time()
+        work()
+        return time.thread_time() - started_s
+
+    return min(cpu_s() for _ in range(5))
+
+
+@pytest.mark.parametrize("kind", REPEATED_TEXTS)
+def test_the_time_to_inspect_a_statement_grows_no_faster_than_its_length(kind: str) -> None:
+    # A statement with a cut-off literal stopped the router for 20 s, and requests of other clients were lost
+    short, long = repeated_text(kind, 2000), repeated_text(kind, 16_000)
+    growth = least_cpu_s(lambda: inspect(long)) / least_cpu_s(lambda: inspect(short))
+    assert growth < 24  # 8 if it follows the length, 64 if its square
+
+
+def test_the_longest_statement_with_a_cut_off_literal_holds_up_no_answer() -> None:
+    statement = repeated_text("a quoted name without its end", MAX_JSON_STATEMENT_BYTES)
+    assert least_cpu_s(lambda: sql.table_group(statement)) < ANSWER_SLACK_S
+
+
+@pytest.mark.parametrize("quote", "'\"`")
+def test_inspecting_a_long_literal_takes_less_memory_than_the_literal(quote: str) -> None:
+    # Backtracking through one literal of 1 MiB took 170 MB, more than the router's limit
+    statement = f"INSERT INTO sales_3.t VALUES ({quote}{'x' * 1_000_000}{quote})"
+    tracemalloc.start()
+    try:
+        inspect(statement)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < len(statement)
+
+
 def test_hints_come_only_from_comments_with_the_router_s_mark() -> None:
     found = sql.hints("/* slipbay: class=report cpu_ms=7 x */ SELECT 1", "slipbay")
     assert found == {"class": "report", "cpu_ms": "7"}
