Settle which call an engine's answer belongs to, by all answers of 50 ms and a fence

Cause: a connection remembered one answer, the last, and doubted only what equals it. A first page's copy comes behind the second page, so it was not known. A doubtful 503 was held, and the next answer was to decide: a 500 was read as "unknown here, so the 503 was right", but it was the load's own error. The old confirming poll had a third fault: on one connection two calls' answers can't be told apart, and the connection went back to the pool with an answer still to come.

Change: AnswerGuard (no I/O) remembers the answers of the last 50 ms of its connection. What can't be a duplicate is passed on at once. Otherwise a fence follows at once, a PUT of the query's priority: engines answer in order and no query gets 204, so with it the own answer has come. If several different ones came, nothing is known, and the query is asked for on another connection. This replaces the wait of 50 ms. After a doubtful answer, connections that are not quiet are left alone while there is room. HttpExchange lost its part of it (40 lines).

Stand-ins of the tests answered a PUT with rows, which no engine does (PROTOCOL: 204); they answer 204 now. The window's constant moved, so two tests patch it there.

--- a/slipbay/backends/http_connection.py
+++ b/slipbay/backends/http_connection.py
@@ -1,14 +1,13 @@
-"""One HTTP/1.1 connection to an engine: one call at a time, with detection of duplicate answers."""
+"""One HTTP/1.1 connection to an engine: one call at a time, with a guard against duplicate answers."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 
-from slipbay.backends.pool import (
-    DUPLICATE_WINDOW_US,
-    Pool,
-    PooledStream,
-)
+from slipbay.backends.answer_guard import AnswerGuard, Verdict
+from slipbay.backends.pool import Pool, PooledStream
+from slipbay.core.timers import Timer
 from slipbay.log import log
 from slipbay.wire import http1
 
@@ -16,18 +15,17 @@
 class HttpConnection(PooledStream):
     """A connection that carries one call at a time."""
 
-    last_answer_us = 0  # when the last answer was complete, us
-    caller: object = None  # owner of the current or last call
-    foreign_answer: http1.Response | None = None  # the answer before the current call, if of another caller
-    last_answer: http1.Response | None = None
-    may_be_duplicate = False  # the last answer may be a duplicate of an answer to another caller
-    duplicate_until_us = 0  # until when such a duplicate may arrive, us
+    is_doubtful = False  # the answer passed on last may be a duplicate of an earlier one
 
     def __init__(self, pool: Pool[PooledStream]) -> None:
         super().__init__(pool)
         self._responses = http1.ResponseParser()
+        self._guard = AnswerGuard()
         self._responded: Callable[[http1.Response], None] | None = None
         self._interrupted: Callable[[], None] | None = None
+        self._fence: Callable[[], bytes] | None = None
+        self._fence_timer: Timer | None = None
+        self._answer_began_us = 0  # when the first byte of the current answer arrived, us
 
     def opened(self) -> None:
         """Make the open connection usable, unless the engine has closed it already."""
@@ -43,22 +41,25 @@
         responded: Callable[[http1.Response], None],
         interrupted: Callable[[], None],
         deadline_us: int = 0,
-        caller: object = None,
+        fence: Callable[[], bytes] | None = None,
     ) -> None:
         """Send a request.
 
         Args:
             request: its bytes.
             responded: called with its response.
-            interrupted: called if the connection ends before the response is complete.
+            interrupted: called if the connection ends before the response is complete, or if it can't be
+                told which of several responses is its own.
             deadline_us: time at which the call is aborted, us; 0: never.
-            caller: owner of the call; used to detect duplicates of answers to another caller.
+            fence: returns a request that is answered with 204. It is sent if a response may be a duplicate
+                of an earlier one, and that response is passed on only once it is settled. Without a fence
+                it is passed on with ``is_doubtful``, and the connection can't be used any more.
         """
         self._responded = responded
         self._interrupted = interrupted
         self.deadline_us = deadline_us
-        self.foreign_answer = self.last_answer if caller is not self.caller else None
-        self.caller = caller
+        self._fence = fence
+        self._guard.begin_call(self.pool.now())
         self.write(request)
 
     def await_next_response(
@@ -67,13 +68,16 @@
         """Wait for another response to the current call, as the last one was not the answer to it."""
         self._responded = responded
         self._interrupted = interrupted
-        self.foreign_answer = None
 
     def abandon(self, deadline_us: int) -> None:
         """Ignore the answer to the current call; when it arrives the connection is released."""
         self._responded = self.finish_call
         self._interrupted = None
         self.deadline_us = deadline_us
+        self._fence = None
+        if self._fence_timer is not None:  # without the fence it can't be told when the answer has come
+            self._cancel_fence()
+            self.close()
 
     def finish_call(self, response: http1.Response) -> None:
         """End the call: release the connection if the response permits reuse, else close it."""
@@ -88,10 +92,13 @@
         if self._responded is None:
             self.abort()  # no call is open
             return
+        if not self._responses.is_within_response:
+            self._answer_began_us = self.pool.now()
         try:
             response = self._responses.feed(data)
             while response is not None:
-                self._complete_call(response)
+                self._judge(response)
+                self._answer_began_us = self.pool.now()
                 response = self._responses.feed(b"") if self._responded is not None else None
         except http1.MalformedResponseError as problem:
             log(
@@ -102,25 +109,47 @@
             )
             self.abort()
 
-    def _complete_call(self, response: http1.Response) -> None:
-        """Pass a complete response to the call, and note whether it may be a duplicate."""
+    def _judge(self, response: http1.Response) -> None:
+        """Pass a complete response to the call once it is certain that it answers it."""
+        judgement = self._guard.judge(response, self._answer_began_us, self.pool.now())
+        answer = judgement.answer or response
+        match judgement.verdict:
+            case Verdict.OWN:
+                self._pass_on(answer, is_doubtful=False)
+            case Verdict.UNKNOWABLE:
+                log("engine", "several answers to one call; connection closed", engine=self.pool.engine)
+                self._responded = None  # nothing that follows is an answer
+                self.abort()
+            case _ if self._fence is None:
+                self._pass_on(replace(answer, keep_alive=False), is_doubtful=True)
+            case Verdict.DOUBTFUL:
+                log("engine", "an answer may be a duplicate; verifying it", engine=self.pool.engine)
+                self.pool.record_doubt()
+                delay_us = self._guard.fence_delay_us(self.pool.now())
+                if delay_us:
+                    self._fence_timer = self.pool.after(delay_us, self._send_fence)
+                else:
+                    self._send_fence()
+
+    def _send_fence(self) -> None:
+        self._fence_timer = None
+        if self._fence is not None:
+            self._guard.fence_sent()
+            self.write(self._fence())
+
+    def _cancel_fence(self) -> None:
+        if self._fence_timer is not None:
+            self._fence_timer.cancel()
+            self._fence_timer = None
+
+    def _pass_on(self, response: http1.Response, is_doubtful: bool) -> None:
         responded = self._responded
         if responded is None:
             return
         self._responded = None
         self._interrupted = None
-        now = self.pool.now()
-        is_suspicious = response.status != http1.OK or (
-            self.foreign_answer is not None and response.has_same_content(self.foreign_answer)
-        )
-        self.may_be_duplicate = (
-            self.foreign_answer is not None
-            and is_suspicious
-            and now - self.last_answer_us < DUPLICATE_WINDOW_US
-        )
-        self.duplicate_until_us = self.last_answer_us + DUPLICATE_WINDOW_US
-        self.last_answer_us = now
-        self.last_answer = response
+        self._cancel_fence()
+        self.is_doubtful = is_doubtful
         responded(response)
 
     def ended(self) -> None:
@@ -128,6 +157,7 @@
         interrupted = self._interrupted
         self._interrupted = None
         self._responded = None
+        self._cancel_fence()
         super().ended()
         if interrupted is not None:
             interrupted()
--- a/slipbay/backends/http_exchange.py
+++ b/slipbay/backends/http_exchange.py
@@ -107,7 +107,6 @@
         # A progress note that the policy has not received yet, and the connection on which it arrived
         self._held_answer: tuple[HttpConnection, http1.Response] | None = None
         self._failures = 0  # malformed answers and broken connections
-        self._possible_duplicate: http1.Response | None = None  # an answer that may belong to another query
         self._pages: list[bytes] = []
         self._page_count = 0
         self._is_ended = False
@@ -157,7 +156,7 @@
 
     def _poll(self, connection: HttpConnection) -> None:
         """Poll for the end of the query, or get the next page of its result."""
-        self._pending = self._possible_duplicate = None
+        self._pending = None
         if self._call_connection is not None:  # its call has no answer yet, and a further connection is open
             self._is_polled_beside_post = not self._answered and self._may_post_be_open
             self._call_connection.abandon(self._last_call_us + LONG_POLL_US + TRANSIT_US)
@@ -172,7 +171,10 @@
         self._previous_call_us = self._last_call_us
         self._last_call_us = self._backend.now()
         connection.call(
-            request, lambda response: self._responded(connection, response), self._interrupted, caller=self
+            request,
+            lambda response: self._responded(connection, response),
+            self._interrupted,
+            fence=lambda: self._priority_call(self._attempt.request.priority),
         )
         self._last_call_us = self._backend.exact_now()  # the process may have been stopped during this turn
         if self._check_timer is None or self._page_count:  # pages arrive long before the timer of a poll
@@ -245,14 +247,6 @@
     # Answers
 
     def _responded(self, connection: HttpConnection, response: http1.Response) -> None:
-        if connection.may_be_duplicate and response.status != http1.ACCEPTED:
-            self._await_possible_duplicate(connection, response)
-            return
-        earlier_answer = self._possible_duplicate
-        self._possible_duplicate = None
-        is_unknown = response.status == http1.INTERNAL_SERVER_ERROR and connection is self._post_connection
-        if earlier_answer is not None and is_unknown and earlier_answer.status != http1.OK:
-            response = earlier_answer  # the query is unknown to the engine, which rejected it earlier
         if self._is_invalid(response):
             log(
                 "engine",
@@ -292,26 +286,6 @@
             connection.finish_call(response)
             self._finish(self._stop_outcome or _outcome_of(response))
 
-    def _await_possible_duplicate(self, connection: HttpConnection, response: http1.Response) -> None:
-        """Wait for another answer, as this one may be a duplicate of the answer to another query's call on
-        this connection: it arrived soon after that answer, and is equal to it or is not a result. If it is a
-        duplicate, the next answer is the one to this query. If none arrives while duplicates are expected,
-        this answer was probably the right one, and a poll confirms it."""
-        log("engine", "an answer arrived soon after another; waiting for the next", engine=self._pool.engine)
-        self._possible_duplicate = response
-        connection.await_next_response(lambda next: self._responded(connection, next), self._interrupted)
-        self._backend.timers.at(connection.duplicate_until_us, lambda: self._confirm(connection, response))
-
-    def _confirm(self, connection: HttpConnection, earlier_answer: http1.Response) -> None:
-        """Poll on the same connection, where a poll can't overtake the POST: an engine sends a result again,
-        and answers that a query that it rejected is unknown."""
-        if (
-            self._call_connection is connection
-            and self._possible_duplicate is earlier_answer
-            and not (self._is_ended or self._stop_outcome)
-        ):
-            self._call(connection, http1.request("GET", f"{self._path}/0", self._pool_host()))
-
     def _is_invalid(self, response: http1.Response) -> bool:
         """Whether an engine can't have sent this as the answer to the current call: it is a duplicate of
         another answer, or a truncated page."""
@@ -464,15 +438,23 @@
                 connection.release()  # a poll is open already
             return
 
+        is_repeated = False
+
         def responded(response: http1.Response) -> None:
-            # An engine that does not know the query does not run it
-            is_unknown = response.status == http1.INTERNAL_SERVER_ERROR and not connection.may_be_duplicate
-            # Other answers are duplicates of the answer to an earlier call
-            if response.status != http1.NO_CONTENT and not is_unknown:
+            nonlocal is_repeated
+            # 500: an engine that does not know the query does not run it
+            is_deleted = response.status in (http1.NO_CONTENT, http1.INTERNAL_SERVER_ERROR)
+            if not is_deleted or connection.is_doubtful:  # a duplicate of an earlier answer
                 connection.await_next_response(responded, interrupted)
+                if response.status == http1.NO_CONTENT:  # two answers prove that one is to this call
+                    is_repeated = True
+                    connection.write(request)
                 return
             timeout.cancel()
-            connection.finish_call(response)
+            if is_repeated:  # a further answer may follow
+                connection.close()
+            else:
+                connection.finish_call(response)
             self._finish(self._stop_outcome or Outcome.CANCELLED)
 
         def interrupted() -> None:
@@ -481,10 +463,9 @@
             self._is_process_uncertain = True
             self._retry_delete()
 
+        request = http1.request("DELETE", self._path, self._pool_host())
         timeout = self._backend.timers.after(TRANSIT_US, connection.abort)
-        connection.call(
-            http1.request("DELETE", self._path, self._pool_host()), responded, interrupted, caller=self
-        )
+        connection.call(request, responded, interrupted)
 
     def _delete_connect_failed(self, failure: ConnectFailure) -> None:
         self._pending_delete = None
@@ -503,9 +484,10 @@
     def set_priority(self, priority: int) -> None:
         """Send the new priority of a running query to the engine."""
         if self._is_post_written and not self._page_count and not self._is_ended:
-            self._backend.fire_and_forget(
-                self._pool, http1.request("PUT", self._path, self._pool_host(), body=str(priority).encode())
-            )
+            self._backend.fire_and_forget(self._pool, self._priority_call(priority))
+
+    def _priority_call(self, priority: int) -> bytes:
+        return http1.request("PUT", self._path, self._pool_host(), body=str(priority).encode())
 
     def _finish(self, outcome: Outcome) -> None:
         if self._is_ended:
--- a/slipbay/backends/pool.py
+++ b/slipbay/backends/pool.py
@@ -9,6 +9,7 @@
 from typing import Generic, TypeVar
 
 from slipbay.address import Address
+from slipbay.backends.answer_guard import DUPLICATE_WINDOW_US
 from slipbay.core.timers import Timer, Timers
 from slipbay.log import log
 from slipbay.policy.events import EngineId
@@ -25,7 +26,8 @@
 QUERY_DROPPED_US = UNPOLLED_QUERY_US + LONG_POLL_US + 100_000
 # Longer than any request waits; then no attempt needs the pool of a removed engine
 UNUSED_POOL_US = 60_000_000
-DUPLICATE_WINDOW_US = 50_000  # after an answer; within it an idle connection may still receive a duplicate
+AVOIDED_REUSE_US = 1_000_000  # after a doubtful answer; equal answers come in series
+AVOIDED_REUSE_SHARE = 2  # further connections are opened for it up to the limit on sockets divided by this
 # The engines' idle timeout is divided by this, so that connections are closed before engines close them
 IDLE_TIMEOUT_DIVISOR = 3
 
@@ -161,6 +163,7 @@
         self._removed_at_us = 0
         self._last_activity_us = now()
         self._backlog_until_us = 0
+        self._avoid_reuse_until_us = 0
         self._last_answer_us = -1  # when data last arrived on an open connection, us
         sockets.pools.append(self)  # type: ignore[arg-type]
 
@@ -173,7 +176,7 @@
         ``done`` or ``failed`` is called later.
         """
         pending = PendingAcquire(done, failed, self.now())
-        while self.idle and not fresh:
+        while self.idle and not fresh and (self._is_quiet(self.idle[0]) or not self._may_avoid_reuse):
             stream = self._next_idle()
             if stream.is_stale():
                 stream.abort()
@@ -191,14 +194,28 @@
     def _next_idle(self) -> C:
         """The most recently used connection that is idle for ``DUPLICATE_WINDOW_US``, so that the others age
         and are closed; if there is none, the one that is idle for longest."""
-        idle_until_us = self.now() - DUPLICATE_WINDOW_US
         for index in range(len(self.idle) - 1, 0, -1):
-            if self.idle[index].idle_since_us <= idle_until_us:
+            if self._is_quiet(self.idle[index]):
                 stream = self.idle[index]
                 del self.idle[index]
                 return stream
         return self.idle.popleft()
 
+    def _is_quiet(self, stream: C) -> bool:
+        """Whether no duplicate of an earlier answer can arrive on an idle connection any more."""
+        return stream.idle_since_us <= self.now() - DUPLICATE_WINDOW_US
+
+    @property
+    def _may_avoid_reuse(self) -> bool:
+        """Whether to open a connection rather than use one that is not quiet: answers were doubtful recently,
+        and there is room."""
+        has_room = self._sockets.used < self._sockets.max_sockets // AVOIDED_REUSE_SHARE
+        return has_room and self.now() < self._avoid_reuse_until_us
+
+    def record_doubt(self) -> None:
+        """Record that an answer may have been a duplicate, as its connection was used again quickly."""
+        self._avoid_reuse_until_us = self.now() + AVOIDED_REUSE_US
+
     def _open_stream(self, pending: PendingAcquire[C]) -> None:
         stream = self._create_stream(self)
         pending.stream = stream
@@ -249,6 +266,10 @@
             is_alive = failure is ConnectFailure.TIMED_OUT and self._last_answer_us >= pending.started_us
             pending.failed(ConnectFailure.TIMED_OUT_BUT_ALIVE if is_alive else failure)
 
+    def after(self, delay_us: int, action: Callable[[], None]) -> Timer:
+        """Run an action after a delay."""
+        return self._timers.after(delay_us, action)
+
     def put_idle(self, stream: C) -> None:
         """Make a connection available for the next call."""
         if stream.lost or stream not in self._streams:
--- a/slipbay/rig/standins.py
+++ b/slipbay/rig/standins.py
@@ -106,7 +106,10 @@
 
 
 class StandInEngine:
-    """An HTTP server that answers as its script returns: an answer, or None to abort the connection."""
+    """An HTTP server that answers as its script returns: an answer, or None to abort the connection.
+
+    A change of priority is answered without the script.
+    """
 
     def __init__(self, script: Script = one_page) -> None:
         self.script = script
@@ -131,7 +134,7 @@
                 method, path, headers, await reader.readexactly(int(headers.get("content-length", 0)))
             )
             self.calls.append(call)
-            answer = await self.script(call, writer)
+            answer = http_answer(204) if call.method == "PUT" else await self.script(call, writer)
             if answer is None:
                 writer.transport.abort()
                 return
--- a/slipbay/wire/http1.py
+++ b/slipbay/wire/http1.py
@@ -70,6 +70,11 @@
             return None
         return replace(response, keep_alive=False) if self._data else response
 
+    @property
+    def is_within_response(self) -> bool:
+        """Whether a part of a response has been received."""
+        return bool(self._data) or self._head is not None
+
     def _parse(self) -> Response | None:
         while self._head is None or self._head[0] < OK:  # after an interim response the final one follows
             self._head = None
--- a/tests/exchange_models.py
+++ b/tests/exchange_models.py
@@ -368,7 +368,7 @@
         transport, call = self.calls.pop(index % len(self.calls))
         if transport.closing:
             return
-        if call.startswith("DELETE"):
+        if call.startswith(("DELETE", "PUT")):
             data = DELETED
         elif call.endswith("/1"):
             data = MORE if self.end == "pages" else ANSWERS["error"]
--- a/tests/test_engine_races.py
+++ b/tests/test_engine_races.py
@@ -15,7 +15,7 @@
 from fakes import FakeConnector, FakeLoop
 from loopback import HOST, SETTINGS, HttpCall, JsonClient, Loopback, StandInEngine, http_answer, run, until
 
-from slipbay.backends import http_connection
+from slipbay.backends import answer_guard
 from slipbay.backends.http_connection import HttpConnection
 from slipbay.backends.http_exchange import HttpExchange
 from slipbay.backends.pool import MAX_EVICTED_PER_TURN, ConnectFailure, Pool, SocketBudget
@@ -58,7 +58,7 @@
     """Guards against a query served with the rows of another one, and against a false proof that a query did
     not run: a duplicate arrives before the answer to the next call on its connection."""
     # Long enough for any delay of the machine between the two queries
-    monkeypatch.setattr(http_connection, "DUPLICATE_WINDOW_US", 60_000_000)
+    monkeypatch.setattr(answer_guard, "DUPLICATE_WINDOW_US", 60_000_000)
 
     async def script(call: HttpCall, writer: asyncio.StreamWriter) -> bytes | None:
         if call.method == "GET" or call.body != b"SELECT 2":
@@ -79,7 +79,7 @@
 
 def test_a_rejection_soon_after_another_answer_is_still_a_proof(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a load that fails instead of being retried, as the rejection arrived quickly."""
-    monkeypatch.setattr(http_connection, "DUPLICATE_WINDOW_US", 300_000)
+    monkeypatch.setattr(answer_guard, "DUPLICATE_WINDOW_US", 300_000)
     turned_away: list[str] = []
 
     async def script(call: HttpCall, writer: asyncio.StreamWriter) -> bytes | None:
@@ -107,6 +107,58 @@
     run(test)
 
 
+def test_a_late_duplicate_of_a_first_page_is_not_served_to_the_next_query(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against rows of another query: between the page and its duplicate came the second page."""
+    monkeypatch.setattr(answer_guard, "DUPLICATE_WINDOW_US", 60_000_000)
+    first_page = http_answer(200, FIRST, X_Sheets="2")
+
+    async def script(call: HttpCall, writer: asyncio.StreamWriter) -> bytes | None:
+        if call.body == b"SELECT 1":
+            return first_page
+        if call.path.endswith("/1"):
+            return http_answer(200, SECOND, X_Sheet="1")
+        if call.method == "POST":
+            writer.write(first_page)
+            await asyncio.sleep(0.02)
+        return http_answer(200, SECOND, X_Sheets="1")
+
+    async def test() -> None:
+        engine = StandInEngine(script)
+        async with Loopback(engine) as net:
+            client = await net.client()
+            assert await served(client, "SELECT 1") == FIRST + SECOND
+            assert await served(client, "SELECT 2") == SECOND
+
+    run(test)
+
+
+def test_a_load_that_failed_after_a_late_duplicate_of_a_rejection_is_not_sent_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a load that runs twice: its own error was taken for a proof of the rejection."""
+    monkeypatch.setattr(answer_guard, "DUPLICATE_WINDOW_US", 60_000_000)
+
+    async def script(call: HttpCall, writer: asyncio.StreamWriter) -> bytes | None:
+        if call.body.startswith(b"INSERT"):
+            writer.write(http_answer(503, X_No_Effect="1"))
+            await asyncio.sleep(0.02)
+            return http_answer(500)
+        return http_answer(500) if call.method == "GET" else http_answer(200, FIRST, X_Sheets="1")
+
+    async def test() -> None:
+        engine = StandInEngine(script)
+        async with Loopback(engine) as net:
+            client = await net.client()
+            assert await served(client, "SELECT 1") == FIRST
+            client.query("ticket-load", "INSERT INTO sales_1.tickets VALUES (1)", limit=20_000)
+            assert "error" in await client.answer()
+            assert len([call for call in engine.named("POST") if call.body.startswith(b"INSERT")]) == 1
+
+    run(test)
+
+
 def test_a_duplicate_answer_is_not_taken_for_the_answer_to_a_delete() -> None:
     """Guards against an attempt that is taken for ended while it runs, so that another overlaps with it."""
     writers: list[asyncio.StreamWriter] = []
