Count two dashes as a comment only before white space, and no hidden write as a read

UPDATE ran twice when a connection dropped in its reply, and the client was told that it was served.

Cause: any two dashes began a comment, so the rest of the line, with the UPDATE, was not read. In MySQL they do so only before white space or a control character.

Change: that rule, and what else the published grammar showed in the same judgement: several statements in one, EXPLAIN of a write, and MariaDB's /*M! count as no reads (the last is refused, as /*! is). Where a statement has a backslash it is also read as engines with NO_BACKSLASH_ESCAPES or ANSI_QUOTES would; it is a read only if it is one by each rule, or a syntax error there. An unfinished /*! is refused again, as it was before.

--- a/slipbay/wire/sql.py
+++ b/slipbay/wire/sql.py
@@ -23,8 +23,9 @@
 KEYWORDS_AFTER_TABLES = ("where", "set", "on", "group", "order", "values", "select", "having")
 
 READ_VERBS = frozenset(("select", "show", "explain", "describe", "desc", "table", "values", "with"))
+PREFIX_VERBS = frozenset(("with", "explain", "describe", "desc"))  # a statement of any kind may follow
 LOCKING_WORDS = frozenset(("into", "update", "share"))  # a SELECT with one of them writes or locks
-WRITE_WORDS = frozenset(("insert", "delete", "replace"))  # the statement behind a WITH writes
+WRITE_WORDS = frozenset(("insert", "delete", "replace"))  # verbs of writes, also names of functions
 SESSION_WORDS = frozenset(  # they depend on the state of a session, or change it
     (
         "temporary",
@@ -44,12 +45,18 @@
 # Parts of patterns, all for re.VERBOSE and re.DOTALL
 _STRING = r"'(?:[^'\\]++|\\.|'')*+'"
 _DOUBLE_QUOTED = r'"(?:[^"\\]++|\\.|"")*+"'
+_PLAIN_STRING = r"'(?:[^']++|'')*+'"  # as engines with NO_BACKSLASH_ESCAPES read it
+_PLAIN_DOUBLE_QUOTED = r'"(?:[^"]++|"")*+"'  # as engines with NO_BACKSLASH_ESCAPES or ANSI_QUOTES read it
 _BACKTICKED = r"`(?:[^`]++|``)*+`"
-_LINE_COMMENT = r"(?:--|\#)[^\n]*+"
+_DASHES = (
+    r"--(?=[\x00-\x20\x7f]|\Z)"  # two dashes begin a comment only before white space or a control character
+)
+_LINE_COMMENT = rf"(?:{_DASHES}|\#)[^\n]*+"
 _BLOCK_COMMENT = r"/\*.*?\*/"
+_CODE_COMMENT = r"/\*M?!"  # its beginning; MySQL and MariaDB run what is in it
 _SYSTEM_VARIABLE = r"@@[\w$.`]++"
 _USER_VARIABLE = r"@[\w$.`]++"
-_LONE_MARK = r"/+(?!\*) | -(?!-) | @+(?!@?[\w$.`])"
+_LONE_MARK = r"/+(?!\*) | -(?!-(?:[\x00-\x20\x7f]|\Z)) | @+(?!@?[\w$.`])"
 _WORD = r"[A-Za-z_][\w$]*+"
 _NAME_PART = rf"(?:{_WORD}|{_BACKTICKED}|{_DOUBLE_QUOTED})"
 _NAME = rf"{_NAME_PART}(?:\s*+\.\s*+(?:{_NAME_PART}|\*))*+"
@@ -93,9 +100,25 @@
 )
 _SIGNIFICANT_WORD = _keyword((*LOCKING_WORDS, *WRITE_WORDS, *SESSION_WORDS))
 _SIGNIFICANT_TOKEN = _scanner(
-    (rf"(?!{_SIGNIFICANT_WORD}){_NAME}", rf"(?!/\*!){_BLOCK_COMMENT}"),
-    rf"(?P<word>{_SIGNIFICANT_WORD}) | (?P<code>/\*!.*?\*/) | (?P<variable>{_USER_VARIABLE}) | (?P<end>\Z)",
+    (rf"(?!{_SIGNIFICANT_WORD}){_NAME}", rf"(?!{_CODE_COMMENT}){_BLOCK_COMMENT}"),
+    rf"(?P<word>{_SIGNIFICANT_WORD}) | (?P<code>{_CODE_COMMENT}) | (?P<variable>{_USER_VARIABLE})"
+    r" | (?P<separator>;[\s;]*+) | (?P<end>\Z)",
+    wanted_mark=";",
+)
+_TRAILER = re.compile(rf"(?:[\s;]++|{_LINE_COMMENT}|(?!{_CODE_COMMENT}){_BLOCK_COMMENT})*+\Z", re.DOTALL)
+
+
+def _with_quotes(token: re.Pattern[str], string: str, double_quoted: str) -> re.Pattern[str]:
+    """The same pattern for engines that read quotes by other rules."""
+    pattern = token.pattern.replace(_STRING, string).replace(_DOUBLE_QUOTED, double_quoted)
+    return re.compile(pattern, token.flags)
+
+
+_OTHER_SIGNIFICANT_TOKENS = (
+    _with_quotes(_SIGNIFICANT_TOKEN, _PLAIN_STRING, _PLAIN_DOUBLE_QUOTED),
+    _with_quotes(_SIGNIFICANT_TOKEN, _STRING, _PLAIN_DOUBLE_QUOTED),
 )
+"""For statements with backslashes, as the engine's ``sql_mode`` decides what they mean."""
 
 
 def table_group(statement: str) -> int:
@@ -145,17 +168,41 @@
     has_variables: bool  # user variables, which are part of the session's state
     has_hidden_code: bool  # comments that the engine may run
     is_cut_off: bool  # it ends within a string, a quoted name or a comment
+    is_several: bool  # further statements follow the first
+    is_read_only: bool  # it only reads, so that it can be repeated; false if that is uncertain
 
-    @property
-    def is_read_only(self) -> bool:
-        """Whether the statement only reads, so that it can be repeated; false if that is uncertain."""
-        if self.has_variables or self.has_hidden_code or self.is_cut_off:
-            return False
-        if not self.words.isdisjoint(LOCKING_WORDS):
+
+@dataclass(slots=True, frozen=True)
+class _Scan:
+    """What one pass over the tokens of a statement has found."""
+
+    words: frozenset[str]
+    last_token: str | None  # the kind of token at which it stopped; None: at one without an end
+    is_several: bool = False
+
+    def only_reads(self, verb: str) -> bool:
+        """Whether a statement with this verb and these tokens certainly only reads."""
+        if self.last_token != "end" or self.is_several or verb not in READ_VERBS:
             return False
-        if self.verb == "with":
-            return self.words.isdisjoint(WRITE_WORDS)
-        return self.verb in READ_VERBS
+        forbidden = LOCKING_WORDS | WRITE_WORDS if verb in PREFIX_VERBS else LOCKING_WORDS
+        return self.words.isdisjoint(forbidden)
+
+
+def _scan(statement: str, significant_token: re.Pattern[str]) -> _Scan:
+    """Read tokens up to the first user variable or comment with code."""
+    words: set[str] = set()
+    is_several = False
+    position = 0
+    while (token := significant_token.match(statement, position)) and token.lastgroup in (
+        "word",
+        "separator",
+    ):
+        position = token.end()
+        if token.lastgroup == "word":
+            words.add(token["word"].lower())
+        elif not is_several:
+            is_several = _TRAILER.match(statement, position) is None
+    return _Scan(frozenset(words), token.lastgroup if token is not None else None, is_several)
 
 
 def outline(statement: str) -> Outline:
@@ -163,18 +210,22 @@
 
     It is read up to the first user variable or comment with code: either decides that it is not served.
     """
-    words: set[str] = set()
-    position = 0
-    while (token := _SIGNIFICANT_TOKEN.match(statement, position)) and token.lastgroup == "word":
-        words.add(token["word"].lower())
-        position = token.end()
-    verb = _VERB.match(statement)
+    scan = _scan(statement, _SIGNIFICANT_TOKEN)
+    match = _VERB.match(statement)
+    verb = match["verb"].lower() if match else ""
+    is_read_only = scan.only_reads(verb)
+    if is_read_only and "\\" in statement:
+        others = [_scan(statement, token) for token in _OTHER_SIGNIFICANT_TOKENS]
+        # A statement that is cut off is a syntax error there, and does nothing
+        is_read_only = all(other.last_token is None or other.only_reads(verb) for other in others)
     return Outline(
-        verb["verb"].lower() if verb else "",
-        frozenset(words),
-        has_variables=token is not None and token.lastgroup == "variable",
-        has_hidden_code=token is not None and token.lastgroup == "code",
-        is_cut_off=token is None,
+        verb,
+        scan.words,
+        has_variables=scan.last_token == "variable",
+        has_hidden_code=scan.last_token == "code",
+        is_cut_off=scan.last_token is None,
+        is_several=scan.is_several,
+        is_read_only=is_read_only,
     )
 
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -223,6 +223,27 @@
         ("SELECT 1 /* a", False),
         ("SELECT 'a\\", False),
         ("SELECT @a", False),
+        ("SELECT replace(a, 'x', 'y') FROM b", True),
+        ("SELECT 1 ; ", True),
+        ("SELECT 1; -- done", True),
+        ("SELECT 1; DELETE FROM a", False),
+        ("SELECT 1;;SELECT 2", False),
+        ("WITH q AS (SELECT base--1 AS x) UPDATE a SET b = 1", False),
+        ("WITH q AS (SELECT base-- 1\n AS x) UPDATE a SET b = 1", False),
+        ("SELECT a--\tFOR UPDATE", True),
+        ("SELECT a --1 FOR UPDATE", False),
+        ("SELECT a ---1 FOR UPDATE", False),
+        ("EXPLAIN ANALYZE DELETE FROM a", False),
+        ("EXPLAIN SELECT 1", True),
+        ("SELECT 1 /*M! FOR UPDATE */", False),
+        ("SELECT 1 /* /*! */ FOR UPDATE", False),
+        ("SELECT 1 /*!FOR UPDATE", False),
+        ("SELECT 'a\\' FROM b FOR UPDATE -- '", False),
+        ('SELECT "a\\" FROM b FOR UPDATE -- "', False),
+        ("SELECT 'it\\'s' FROM b", True),
+        ("SELECT a FROM b WHERE c = 'x\\\\'", True),
+        ("CALL refill()", False),
+        ("SELECT 1 INTO@a", False),
     ],
 )
 def test_only_statements_without_side_effects_count_as_reads(statement: str, reads: bool) -> None:
@@ -296,6 +317,48 @@
     assert peak_bytes < len(statement)
 
 
+WRITES = (
+    ["WITH", "q", "AS", "(", "SELECT", "{}", ")", "UPDATE", "a", "SET", "b", "=", "{}"],
+    ["WITH", "q", "AS", "(", "SELECT", "{}", ")", "DELETE", "FROM", "a", "WHERE", "b", "=", "{}"],
+    ["WITH", "q", "AS", "(", "SELECT", "{}", ")", "INSERT", "INTO", "a", "SELECT", "{}", "FROM", "q"],
+    ["SELECT", "{}", "FROM", "a", "WHERE", "b", "=", "{}", "FOR", "UPDATE"],
+    ["SELECT", "{}", "FROM", "a", "FOR", "SHARE"],
+    ["SELECT", "{}", "INTO", "OUTFILE", "'x'", "FROM", "a"],
+    ["SELECT", "{}", ";", "DELETE", "FROM", "a", "WHERE", "b", "=", "{}"],
+    ["EXPLAIN", "ANALYZE", "DELETE", "FROM", "a", "WHERE", "b", "=", "{}"],
+    ["INSERT", "INTO", "a", "VALUES", "(", "{}", ")"],
+    ["CALL", "refill", "(", "{}", ")"],
+)
+SEPARATORS = (" ", "\n", " /**/ ", " /* SELECT ' */ ", " -- it's\n", " #\n", "\t--\t`\n", " /* /* */ ")
+EXPRESSIONS = (
+    "base--1",
+    "b---1",
+    "1--2",
+    "'it''s'",
+    "'a\\\\'",
+    r"'it\'s'",
+    '"x"',
+    '"it\'s"',
+    "`a``--`",
+    "'--'",
+    "'/*'",
+    "t . `update`",
+    "@@sql_mode",
+    "x'41'",
+    "a/b",
+    "(1)",
+)
+
+
+@given(st.data())
+def test_no_write_counts_as_a_read(data: st.DataObject) -> None:
+    # Two dashes that begin no comment hid the UPDATE behind them, and the write ran twice
+    tokens = data.draw(st.sampled_from(WRITES))
+    parts = [data.draw(st.sampled_from(EXPRESSIONS)) if token == "{}" else token for token in tokens]
+    statement = "".join(part + data.draw(st.sampled_from(SEPARATORS)) for part in parts)
+    assert not sql.outline(statement).is_read_only
+
+
 def test_hints_come_only_from_comments_with_the_router_s_mark() -> None:
     found = sql.hints("/* slipbay: class=report cpu_ms=7 x */ SELECT 1", "slipbay")
     assert found == {"class": "report", "cpu_ms": "7"}
