Measure equal answers by size of the page, with the router's CPU a request

Bodies of 0, 6 and 4,000 bytes and up to 1,024 open requests, as the issue on late second answers asks. Statuses other than 200 are not measured yet.

--- a/benchmarks/equal_answers.py
+++ b/benchmarks/equal_answers.py
@@ -75,15 +75,18 @@
     failed: int = 0
     connections: int = 0
     calls: int = 0
+    cpu_s: float = 0.0  # of the router
 
     def line(self, seconds: float) -> str:
         """The figures as a line of text."""
-        cuts = quantiles(self.latencies_ms, n=PERCENTILES)
         served = len(self.latencies_ms)
+        if served < 2:
+            return f"{served} served, {self.failed} failed"
+        cuts = quantiles(self.latencies_ms, n=PERCENTILES)
         return (
             f"{served / seconds:6.0f} a second, p50 {cuts[49]:6.1f} ms, p99 {cuts[98]:6.1f} ms, "
-            f"{self.connections:4d} connections, {self.calls / served:.2f} calls a request, "
-            f"{self.failed} failed"
+            f"{self.connections:4d} connections, {self.calls / served:.2f} calls and "
+            f"{1e6 * self.cpu_s / (served + self.failed):4.0f} us of CPU a request, {self.failed} failed"
         )
 
 
@@ -150,6 +153,8 @@
             )
         )
         assert incarnation.process is not None
+        schedstat = Path(f"/proc/{incarnation.process.pid}/schedstat").read_text()
+        figures.cpu_s = int(schedstat.split()[0]) / 1e9
         incarnation.process.terminate()
         await incarnation.wait_until_ended()
     figures.connections = sum(engine.connections for engine in engines)
@@ -161,7 +166,8 @@
 def main() -> None:
     """Run all numbers of open requests, with equal and with distinct answers."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--open", type=int, nargs="*", default=[1, 16, 128])
+    parser.add_argument("--open", type=int, nargs="*", default=[1, 16, 128, 1024])
+    parser.add_argument("--bytes", type=int, nargs="*", default=[0, 6, 4000], help="size of an answer's page")
     parser.add_argument("--seconds", type=float, default=5)
     parser.add_argument("--against", type=Path, help="folder of another release")
     options = parser.parse_args()
@@ -169,17 +175,20 @@
     if options.against is not None:
         releases["other"] = options.against.resolve()
     numbers = count(1)
-    bodies: dict[str, Callable[[], bytes]] = {
-        "distinct": lambda: b"%08d\n" % next(numbers),
-        "equal": lambda: b"12345678\n",
-    }
-    for open_requests in options.open:
-        for name, release in releases.items():
-            for kind, body in bodies.items():
-                figures = asyncio.run(run(release, body, open_requests, options.seconds))
-                print(
-                    f"{name:5} {open_requests:4d} open, {kind:8}: {figures.line(options.seconds)}", flush=True
-                )
+    for size in options.bytes:
+        equal = (b"1" * (size - 1) + b"\n")[:size]
+        bodies: dict[str, Callable[[], bytes]] = {"equal": lambda equal=equal: equal}  # type: ignore[misc]
+        if size:
+            bodies["distinct"] = lambda size=size: b"%0*d\n" % (size - 1, next(numbers))  # type: ignore[misc]
+        for open_requests in options.open:
+            for name, release in releases.items():
+                for kind, body in bodies.items():
+                    figures = asyncio.run(run(release, body, open_requests, options.seconds))
+                    print(
+                        f"{name:5} {size:4d} bytes, {open_requests:4d} open, {kind:8}: "
+                        f"{figures.line(options.seconds)}",
+                        flush=True,
+                    )
 
 
 if __name__ == "__main__":
