--- a/tests/test_list_races.py
+++ b/tests/test_list_races.py
@@ -140,6 +140,30 @@
     run(test)
 
 
+def test_a_heartbeat_may_be_the_bare_position(quick: pytest.MonkeyPatch) -> None:
+    """Guards against a watch that reconnects all day to a service whose heartbeats hold a number alone."""
+
+    async def test() -> None:
+        async with Net() as net:
+            await until(lambda: bool(net.journal.writers))
+            timer = net.watch._timer
+            net.journal.writers[0].write(b"1\n")
+            await until(lambda: net.watch._timer is not timer)
+            net.journal.tell(event(2, net.host(0, "DRAINING")))
+            await until(lambda: net.watch.pos == 2)
+            net.journal.writers[0].write(b"3\n")  # event 3 was lost
+            await until(lambda: len(net.journal.asked) == 2)
+            assert net.journal.asked == [b"tail 1\n", b"tail 2\n"]
+
+    run(test)
+
+
+@pytest.mark.parametrize("line", [b"-1", b"1.5", b"true", b"1e400", b'"1"', b"null", b"9" * 30])
+def test_a_bare_value_that_is_no_position_is_unreadable(line: bytes) -> None:
+    with pytest.raises(UnreadableEventError):
+        EndpointListReader(("room-a",), ("std-8",)).read_line(line)
+
+
 # Drains that are sent once
 
 
