Drop the timers of a finished request with its answer

Seen by callers: a router is killed for its memory.

Cause: the timer of the final answer stood in the policy's table and in the router's heap until its time, with the record of the query; the timer that migrates a stuck attempt likewise.

A host that fires such a timer all the same sees no effect, as before.

--- a/slipbay/core/dispatcher.py
+++ b/slipbay/core/dispatcher.py
@@ -23,7 +23,7 @@
     Served,
 )
 from slipbay.core.ports import AdmissionGate, IdempotencyGuard
-from slipbay.core.timers import Timers
+from slipbay.core.timers import Timer, Timers
 from slipbay.log import log
 from slipbay.policy.actions import (
     Action,
@@ -90,6 +90,7 @@
         self._is_processing_scheduled = False
         self._is_applying_actions = False
         self._finished_parts: list[Request] = []  # ended; a later action of the same call may name them
+        self._policy_timers: dict[int, Timer] = {}  # by token
         self._action_handlers = self._make_action_handlers()
 
     def _make_action_handlers(self) -> dict[type[Action], Callable[[Any, int], None]]:
@@ -309,7 +310,17 @@
 
     def _apply_set_timer(self, action: SetTimer, _now_us: int) -> None:
         token = action.token
-        self.timers.at(action.at_us, lambda: self.notify(TimerFired(token)))
+        self._policy_timers[token] = self.timers.at(action.at_us, lambda: self._policy_timer_fired(token))
+
+    def _policy_timer_fired(self, token: int) -> None:
+        self._policy_timers.pop(token, None)
+        self.notify(TimerFired(token))
+
+    def cancel_policy_timer(self, token: int) -> None:
+        """Drop a timer that the policy needs no more, with all that it refers to."""
+        timer = self._policy_timers.pop(token, None)
+        if timer is not None:
+            timer.cancel()
 
     def _apply_update_attempt(self, action: UpdateAttempt, _now_us: int) -> None:
         request = self.requests.get(action.query)
--- a/slipbay/policy/admission.py
+++ b/slipbay/policy/admission.py
@@ -59,7 +59,7 @@
         class_state = query.class_state
         class_state.estimated_costs.add(query.estimated_cost, 1.0, SAMPLE_DECAY)
         answer_by_us = query.deadline_us - LAST_ANSWER_TICKS * self.settings.tick_us
-        self.outbox.set_timer(answer_by_us, partial(self.queries.answer, query))
+        query.deadline_timer = self.outbox.set_timer(answer_by_us, partial(self.queries.answer, query))
         if not class_state.drain_rate:
             self.bounds.seed(class_state, query.cost, now_us)
         is_heavy = query.cost > class_state.cost_limit and self._admits_light_only(class_state, now_us)
--- a/slipbay/policy/attempts.py
+++ b/slipbay/policy/attempts.py
@@ -79,7 +79,9 @@
         if attempt.number == 0 and self.settings.may_cancel and class_state.spec.effect is Effect.SAFE:
             stuck_after_us = STUCK_FACTOR * self._usual_run_time_us(query) + STUCK_MARGIN_US
             if now_us + 2 * stuck_after_us < query.deadline_us:
-                self.outbox.set_timer(now_us + int(stuck_after_us), partial(self._migrate_if_stuck, attempt))
+                attempt.stuck_timer = self.outbox.set_timer(
+                    now_us + int(stuck_after_us), partial(self._migrate_if_stuck, attempt)
+                )
 
     def _usual_run_time_us(self, query: Query) -> float:
         """Time (us) that a new attempt of the query takes at the average pace of all engines."""
@@ -94,13 +96,16 @@
         if attempt.number not in attempt.query.in_flight or attempt.remaining < 1.0:
             return
         if self.pressure.is_on(now_us):  # all attempts are slow; this one may still be running
-            self.outbox.set_timer(2 * now_us - attempt.sent_us, partial(self._migrate_if_stuck, attempt))
+            attempt.stuck_timer = self.outbox.set_timer(
+                2 * now_us - attempt.sent_us, partial(self._migrate_if_stuck, attempt)
+            )
         else:
             self.retries.migrate(attempt, now_us)
 
     def record_end(self, query: Query, event: AttemptEnded, now_us: int) -> None:
         """Process the outcome of an attempt: close the query, queue it for another attempt or answer it."""
         attempt = query.in_flight.pop(event.attempt)
+        self.outbox.cancel_timer(attempt.stuck_timer)
         engine = attempt.engine
         outcome = event.outcome
         engine.remove_attempt(attempt, outcome in CONNECTION_ERRORS)
--- a/slipbay/policy/controller.py
+++ b/slipbay/policy/controller.py
@@ -173,6 +173,10 @@
         self.queue_release.release(now_us)
         return actions
 
+    def on_timer_cancelled(self, callback: Callable[[int], None]) -> None:
+        """Set the function that is called with the token of each timer that is not needed any more."""
+        self.outbox.timer_cancelled = callback
+
     # Periodic work
 
     def _start(self, now_us: int) -> None:
--- a/slipbay/policy/open_queries.py
+++ b/slipbay/policy/open_queries.py
@@ -113,4 +113,5 @@
         """Remove the record if the query is answered and no attempt is in flight."""
         if query.is_answered and not query.in_flight:
             self.by_id.pop(query.id, None)
+            self.outbox.cancel_timer(query.deadline_timer)
             self.key_queues.finish(query, now_us)
--- a/slipbay/policy/records.py
+++ b/slipbay/policy/records.py
@@ -152,6 +152,7 @@
     last_engine: Engine | None = None
     # first engine that returned an error; the cause may be the engine or the query
     failed_on: Engine | None = None
+    deadline_timer: int | None = None  # token of the timer that gives the final answer
 
 
 @dataclass(slots=True, eq=False)
@@ -166,6 +167,7 @@
     is_cancelled: bool = False
     waited_for_load: bool = False  # a load locked its group
     is_migrating: bool = False  # cancelled so that the query can restart on another engine
+    stuck_timer: int | None = None  # token of the timer that migrates it if it makes no progress
 
 
 class ClassState:
--- a/slipbay/router.py
+++ b/slipbay/router.py
@@ -86,6 +86,7 @@
             config.max_open,
             config.limits.request_bytes,
         )
+        self.policy.on_timer_cancelled(self.dispatcher.cancel_policy_timer)
         self.server = Server(self.timers, config.limits, self.clock.now)
         self.shutdown = GracefulShutdown(self.timers, self.dispatcher, self.server, config.settings.classes)
         sockets = SocketBudget(config.limits.engine_sockets)
