--- a/slipbay/discovery/watch_events.py
+++ b/slipbay/discovery/watch_events.py
@@ -54,6 +54,12 @@
 Event: TypeAlias = Heartbeat | ListChange
 
 
+def _checked_position(pos: int) -> int:
+    if not 0 <= pos <= MAX_POSITION:
+        raise ValueError(f"pos: want 0 to {MAX_POSITION}; got {pos}")
+    return pos
+
+
 class EndpointListReader:
     """Decodes events, and stores the last entry of each listed engine."""
 
@@ -78,18 +84,22 @@
                 self._listed[endpoint.entry.engine] = endpoint
 
     def read_line(self, line: bytes) -> Event:
-        """Decode a line. Raises ``UnreadableEventError``."""
+        """Decode a line: an event, or a heartbeat as an object or as the bare position.
+
+        Raises ``UnreadableEventError``.
+        """
         try:
-            return self.read(json.loads(line))
+            value = json.loads(line)
+            if type(value) is int:
+                return Heartbeat(_checked_position(value))
+            return self.read(value)
         except DECODE_ERRORS as problem:
             raise UnreadableEventError(f"{type(problem).__name__}: {problem}") from None
 
     def read(self, event: Any) -> Event:
         """Decode an event from its JSON value. Raises ``UnreadableEventError``."""
         try:
-            pos = int(event["pos"])
-            if not 0 <= pos <= MAX_POSITION:
-                raise ValueError(f"pos: want 0 to {MAX_POSITION}; got {pos}")
+            pos = _checked_position(int(event["pos"]))
             if "hosts" not in event:
                 return Heartbeat(pos)
             change = event["hosts"]
