Send queries only to the process that the engine list names now

Cause: connections of the process that was listed before were closed only while idle. A call that ended after the engine had moved put its connection back among the idle ones, and a connection that was still opening got its query whatever the list said meanwhile: a moved, restarted, removed or draining engine. Class: something is trusted by its address or name.

Change: a pool counts the processes listed under its engine's name; a connection of an earlier one carries no further call, and one that opens late is opened anew. A query is sent only to a listed engine that does not drain. The comparison of entries stands in the pool, for both protocols; the MySQL backend closed its idle connections at each list event before.

--- a/slipbay/backends/http.py
+++ b/slipbay/backends/http.py
@@ -16,7 +16,7 @@
 from slipbay.core.model import Attempt, Endpoint, Exchange, OutcomeQuery
 from slipbay.core.timers import Timers
 from slipbay.log import log
-from slipbay.policy.events import EngineId, EngineState, ListKind, Outcome
+from slipbay.policy.events import EngineId, ListKind, Outcome
 from slipbay.stream import Connector
 from slipbay.wire import http1
 
@@ -46,17 +46,15 @@
         self.call_soon = connector.loop.call_soon
         self.classes = config.classes
         self._pools: dict[EngineId, Pool[HttpConnection]] = {}
-        self._ready_at_us: dict[EngineId, int] = {}
         timers.after(SWEEP_US, self._sweep)
 
     def endpoints_changed(self, kind: ListKind, hosts: list[Endpoint]) -> None:
         """Update the pools from the endpoint list."""
         if kind is not ListKind.DELTA:
             for engine in self._pools.keys() - {host.entry.engine for host in hosts}:
-                self._pools[engine].set_address(self._pools[engine].address, is_removed=True)
+                self._pools[engine].remove()
         for host in hosts:
             engine = host.entry.engine
-            is_removed = host.entry.state is EngineState.GONE
             pool = self._pools.get(engine)
             if pool is None:
                 self._pools[engine] = pool = Pool(
@@ -70,16 +68,7 @@
                     self._config.connect_timeout_us,
                     self._config.idle_us,
                 )
-                pool.is_removed = is_removed
-            elif is_removed:
-                pool.set_address(pool.address, is_removed=True)
-            elif (
-                pool.is_removed
-                or pool.address != host.address
-                or self._ready_at_us.get(engine) != host.entry.ready_at_us
-            ):
-                pool.set_address(host.address, is_removed=False)
-            self._ready_at_us[engine] = host.entry.ready_at_us
+            pool.update(host.entry, host.address)
 
     @staticmethod
     def _create_connection(pool: Pool[HttpConnection]) -> HttpConnection:
@@ -157,5 +146,5 @@
             pool.sweep()
             if pool.is_unused:  # else pools of removed engines would accumulate
                 pool.close()
-                del self._pools[engine], self._ready_at_us[engine]
+                del self._pools[engine]
         self.timers.after(SWEEP_US, self._sweep)
--- a/slipbay/backends/http_exchange.py
+++ b/slipbay/backends/http_exchange.py
@@ -130,7 +130,7 @@
     def _post(self, connection: HttpConnection) -> None:
         request = self._attempt.request
         now = self._backend.now()
-        if not self._attempt.may_send():
+        if not (self._attempt.may_send() and self._pool.may_send_query(connection)):
             self._pending = None
             connection.release()
             self._finish(self._stop_outcome or Outcome.MOOT)
--- a/slipbay/backends/mysql.py
+++ b/slipbay/backends/mysql.py
@@ -13,7 +13,7 @@
 from slipbay.core.model import Attempt, Endpoint, Exchange, OutcomeQuery
 from slipbay.core.timers import Timers
 from slipbay.log import log
-from slipbay.policy.events import EngineId, EngineState, ListKind, NoteKind, Outcome
+from slipbay.policy.events import EngineId, ListKind, NoteKind, Outcome
 from slipbay.stream import Connector
 from slipbay.wire import mysql
 
@@ -60,12 +60,11 @@
         return MysqlConnection(pool, self._mysql_config)  # type: ignore[arg-type]
 
     def endpoints_changed(self, _kind: ListKind, hosts: list[Endpoint]) -> None:
-        """Mark the pools of removed engines as removed, and unmark those of the other engines in ``hosts``.
-        The addresses come from the configuration."""
+        """Update the pools from the endpoint list; the addresses come from the configuration."""
         for host in hosts:
             pool = self._pools.get(host.entry.engine)
             if pool is not None:
-                pool.set_address(pool.address, host.entry.state is EngineState.GONE)
+                pool.update(host.entry, pool.address)
 
     def start(self, attempt: Attempt) -> Exchange | None:
         """Start an attempt and return its exchange. If the engine has no MySQL address, the attempt ends with
--- a/slipbay/backends/mysql_exchange.py
+++ b/slipbay/backends/mysql_exchange.py
@@ -103,7 +103,7 @@
         if connection.lost or connection.is_stale():
             self._finish(Outcome.CONNECT_FAILED)  # the statement was not sent
             return
-        if not self.attempt.may_send():
+        if not (self.attempt.may_send() and self._pool.may_send_query(connection)):
             self._finish(Outcome.MOOT)
             return
         reader = mysql.ResultReader()
--- a/slipbay/backends/pool.py
+++ b/slipbay/backends/pool.py
@@ -12,7 +12,7 @@
 from slipbay.backends.answer_guard import DUPLICATE_WINDOW_US
 from slipbay.core.timers import Timer, Timers
 from slipbay.log import log
-from slipbay.policy.events import EngineId
+from slipbay.policy.events import EngineEntry, EngineId, EngineState
 from slipbay.stream import Connector, PendingConnect, Stream
 
 SWEEP_US = 1_000_000
@@ -64,6 +64,7 @@
         self.deadline_us = 0  # time at which the current call is aborted, us; 0: no limit
         self.on_usable: Callable[[], None] = lambda: None
         self.on_broken: Callable[[], None] = lambda: None
+        self.incarnation = 0  # of the engine's process, as its pool counts them
         self.failure = ConnectFailure.BROKEN  # reported if the connection ends before it can be used
 
     def release(self) -> None:
@@ -160,6 +161,9 @@
         self.idle: deque[C] = deque()
         self._streams: set[C] = set()  # counted in the budget: opening, busy or idle
         self.is_removed = False
+        self.accepts_queries = True  # listed, and not draining
+        self._incarnation = 0  # counts the processes that the list has had under this engine's name
+        self._ready_at_us: int | None = None  # None: not listed yet
         self._removed_at_us = 0
         self._last_activity_us = now()
         self._backlog_until_us = 0
@@ -218,6 +222,7 @@
 
     def _open_stream(self, pending: PendingAcquire[C]) -> None:
         stream = self._create_stream(self)
+        stream.incarnation = self._incarnation
         pending.stream = stream
         pending.connects = pending.connects + 1
         self._streams.add(stream)
@@ -243,7 +248,9 @@
 
     def _deliver(self, pending: PendingAcquire[C], stream: C) -> None:
         stream.on_broken = stream.on_usable = lambda: None
-        if pending.finish():
+        if not pending.is_ended and not self._is_current(stream):
+            self._fail(pending, ConnectFailure.BROKEN)
+        elif pending.finish():
             pending.done(stream)
         else:
             stream.abort()
@@ -251,6 +258,7 @@
     def _fail(self, pending: PendingAcquire[C], failure: ConnectFailure) -> None:
         if (
             failure is ConnectFailure.BROKEN
+            and not self.is_removed
             and not pending.is_ended
             and pending.connects < MAX_CONNECT_ATTEMPTS
         ):
@@ -274,7 +282,7 @@
         """Make a connection available for the next call."""
         if stream.lost or stream not in self._streams:
             return
-        if self.is_removed:
+        if self.is_removed or not self._is_current(stream):
             stream.close()
             return
         stream.idle_since_us = self.now()
@@ -293,14 +301,41 @@
         if stream in self.idle:
             self.idle.remove(stream)
 
-    def set_address(self, address: Address, is_removed: bool) -> None:
-        """Set the engine's address, or mark the engine as removed. The idle connections are closed, as they
-        lead to an earlier process."""
+    def update(self, entry: EngineEntry, address: Address) -> None:
+        """Apply the engine's entry of the list; a changed address or start time means a new process."""
+        if entry.state is EngineState.GONE:
+            self.remove()
+            return
+        is_known = self._ready_at_us is not None
+        is_new_process = self.is_removed or (
+            is_known and (address != self.address or entry.ready_at_us != self._ready_at_us)
+        )
         self.address = address
-        self.is_removed = is_removed
+        self.is_removed = False
+        self.accepts_queries = entry.state is EngineState.READY
+        self._ready_at_us = entry.ready_at_us
+        if is_new_process:
+            self._start_incarnation()
+
+    def remove(self) -> None:
+        """Mark the engine as removed from the list; its address may be that of another one from now on."""
+        self.is_removed = True
+        self.accepts_queries = False
         self._removed_at_us = self.now()
+        self._start_incarnation()
+
+    def _start_incarnation(self) -> None:
+        """Stop using the connections for further calls, as they lead to an earlier process."""
+        self._incarnation += 1
         self.close_idle()
 
+    def _is_current(self, stream: C) -> bool:
+        return stream.incarnation == self._incarnation
+
+    def may_send_query(self, stream: C) -> bool:
+        """Whether a query may be sent on a connection: to the listed process, and not while it drains."""
+        return self.accepts_queries and self._is_current(stream)
+
     def close_idle(self) -> None:
         """Close all idle connections."""
         for stream in list(self.idle):
--- a/tests/test_engine_identity.py
+++ b/tests/test_engine_identity.py
@@ -27,8 +27,14 @@
     net.journal.tell(event(2, host("s-0", new.port, born_ms=BORN_MS)))
 
 
+def drains(net: Loopback, old: StandInEngine, new: StandInEngine) -> None:
+    net.journal.tell(event(2, host("s-0", old.port, "DRAINING"), host("s-1", new.port)))
+
+
 MOVES = pytest.mark.parametrize(
-    "move", [to_another_address, under_another_name, restarted_elsewhere], ids=lambda move: move.__name__
+    "move",
+    [to_another_address, under_another_name, restarted_elsewhere, drains],
+    ids=lambda move: move.__name__,
 )
 
 
