Hold the id of a request that may have run by time, not by the number of ids after it

Class: what is bounded by a count that any client can raise.

Cause: the record of ids kept the last 8,192, whoever sent them, and also those of refused and unsent requests.

Change: ids stand in a module of their own (frontends/request_ids.py). An id is held while its request is open, and after that for a retention time if it was sent to an engine: 10 s where it may run twice, else 60 s or two longest deadlines. An id that was never sent is free at once, so a flood of refused requests fills nothing. At the limit, a sixteenth of the memory, new requests are refused with a time; no id is forgotten early. Ids are held as numbers.

--- a/slipbay/frontends/jsonrpc.py
+++ b/slipbay/frontends/jsonrpc.py
@@ -8,15 +8,16 @@
 from slipbay.config.model import Config
 from slipbay.core.dispatcher import Dispatcher
 from slipbay.core.model import Answer, Backend, Failed, Rejected, Request, Served
+from slipbay.frontends.request_ids import ClaimResult, RequestIds
 from slipbay.frontends.server import IDLE_TIMEOUT_US, ClientConnection, Server
 from slipbay.idempotency.digest import digest
 from slipbay.log import log
+from slipbay.policy.settings import Effect
 from slipbay.wire import jsonrpc, sql
 from slipbay.wire.lines import Lines, LineTooLongError
 
 MAX_LINE_BYTES = 128 * 1024
 MAX_OPEN_REQUESTS = 32  # on one connection
-MAX_RECENT_TXNS = 8192  # about 15 s of requests on the busiest router, 1 min on the others
 
 
 class RequestScatterer(Protocol):
@@ -41,38 +42,48 @@
     scatterer: RequestScatterer | None = None
 
     def __init__(
-        self, config: Config, dispatcher: Dispatcher, backend: Backend, is_healthy: Callable[[], bool]
+        self,
+        config: Config,
+        dispatcher: Dispatcher,
+        backend: Backend,
+        is_healthy: Callable[[], bool],
+        ids: RequestIds,
     ) -> None:
         self.dispatcher = dispatcher
         self.backend = backend
         self.is_healthy = is_healthy
         self.classes = {name: number for number, name in enumerate(config.classes)}
         self.tenants = {name: number for number, name in enumerate(config.tenants)}
-        self._recent_txns: dict[str, bool] = {}  # recent txns, oldest first; True if the request has a key
+        self._ids = ids
 
-    def claim_txn(self, txn: str, has_key: bool) -> bool:
-        """Records a txn as used; returns False if a new request must not have it.
+    def claim_txn(self, txn: str, service_class: int, has_key: bool) -> ClaimResult:
+        """Claims a txn for a new request.
 
         Engines identify a query by its txn alone. If two requests had the same txn, a client could receive
         the answer to another client's statement, and cancelling one request would cancel the other. The txn
         of a request with an idempotency key may be used again: the key record determines the answer.
         """
-        key = txn.lower()
         guard = self.dispatcher.idempotency_guard
-        if self.scatterer is not None and self.scatterer.owns(key):
-            return False
+        if self.scatterer is not None and self.scatterer.owns(txn.lower()):
+            return ClaimResult.USED
         if not has_key and guard is not None and guard.has_key(idempotency_key_of(txn)):
-            return False
-        if key in self._recent_txns:
-            return has_key and self._recent_txns[key]
-        self._recent_txns[key] = has_key
-        if len(self._recent_txns) > MAX_RECENT_TXNS:
-            del self._recent_txns[next(iter(self._recent_txns))]
-        return True
+            return ClaimResult.USED
+        effect = self.dispatcher.settings.classes[service_class].effect
+        return self._ids.claim(int(txn, 16), effect is not Effect.SAFE, has_key)
+
+    def retry_after_us(self) -> int:
+        """Time after which a client may try again for which no txn could be held."""
+        return min(self._ids.retry_after_us(), self.dispatcher.settings.max_retry_after_us)
+
+    def request_ended(self, request: Request) -> None:
+        """Notes that a client waits no more for a request; its txn is free again if it was not sent."""
+        is_scattered = self.scatterer is not None and self.scatterer.takes(request)
+        may_have_run = bool(request.attempt_count or request.idempotency_key) or is_scattered
+        self._ids.end(int(request.name, 16), may_have_run)
 
     def is_recent_txn(self, name: str) -> bool:
-        """Whether a client has recently used the name, in lower case, as a txn."""
-        return name in self._recent_txns
+        """Whether a client has recently used the name as a txn."""
+        return int(name, 16) in self._ids
 
     def submit(self, request: Request) -> None:
         """Passes a request to the scatterer if its class is scattered, else to the dispatcher."""
@@ -85,6 +96,7 @@
         """Abandons a request whose client disconnected or, if ``cancelled``, cancelled it."""
         if self.scatterer is None or not self.scatterer.gone(request):
             self.dispatcher.client_disconnected(request, cancelled)
+        self.request_ended(request)
 
 
 def idempotency_key_of(txn: str) -> bytes:
@@ -167,6 +179,20 @@
         if self.server.draining:  # earlier requests are still answered; the client can use another router
             self.write(jsonrpc.error(id, jsonrpc.REJECTED, "this router is about to end", 0))
             return
+        request = self._make_request(call, id)
+        match self._frontend.claim_txn(request.name, request.service_class, bool(request.idempotency_key)):
+            case ClaimResult.USED:
+                raise jsonrpc.JsonRpcError(id, jsonrpc.INVALID_PARAMS, "txn has been used")
+            case ClaimResult.FULL:
+                log("client", "no further txn can be held; a request is rejected")
+                retry_after_ms = self._frontend.retry_after_us() // 1000
+                self.write(jsonrpc.error(id, jsonrpc.REJECTED, "refused for now", retry_after_ms))
+            case ClaimResult.GRANTED:
+                self._open[id] = request
+                self._frontend.submit(request)
+
+    def _make_request(self, call: jsonrpc.Call, id: int) -> Request:
+        """Creates a request from a client's call. Raises ``JsonRpcError``."""
         params = jsonrpc.read_query(call)
         tenant = 0
         if params.team is not None and self._frontend.tenants:
@@ -174,10 +200,6 @@
                 raise jsonrpc.JsonRpcError(id, jsonrpc.INVALID_PARAMS, "team is not known here")
             tenant = self._frontend.tenants[params.team]
         service_class = self._frontend.classes[call.method]
-        guard = self._frontend.dispatcher.idempotency_guard
-        has_key = guard is not None and guard.requires_key(service_class)
-        if not self._frontend.claim_txn(params.txn, has_key):
-            raise jsonrpc.JsonRpcError(id, jsonrpc.INVALID_PARAMS, "txn has been used")
         request = Request(
             params.txn,
             service_class,
@@ -194,19 +216,20 @@
             size_bytes=len(params.statement),
             replay_key=params.replay_key,
         )
-        if has_key:
+        guard = self._frontend.dispatcher.idempotency_guard
+        if guard is not None and guard.requires_key(service_class):
             request.idempotency_key = idempotency_key_of(params.txn)
             request.has_client_key = True
             request.is_resent = params.is_repeat
             request.statement_digest = digest(
                 call.method.encode(), (params.team or "").encode(), params.statement
             )
-        self._open[id] = request
-        self._frontend.submit(request)
+        return request
 
     def answered(self, request: Request, answer: Answer) -> None:
         """Writes the answer of a request to the client."""
         id = request.client_handle
+        self._frontend.request_ended(request)
         if self._open.pop(id, None) is None:
             return  # the client has cancelled the request or disconnected
         match answer:
--- a/slipbay/router.py
+++ b/slipbay/router.py
@@ -23,6 +23,7 @@
 from slipbay.discovery.endpoint_watch import EndpointWatch
 from slipbay.frontends.jsonrpc import JsonRpcConnection, JsonRpcFrontend
 from slipbay.frontends.mysql import MysqlConnection, MysqlFrontend
+from slipbay.frontends.request_ids import RequestIds
 from slipbay.frontends.server import Server
 from slipbay.lifecycle import GracefulShutdown, RunningConfig, read_new_config
 from slipbay.log import log
@@ -102,7 +103,7 @@
         self.quotas = self._make_quotas(quotas)
         self.warmup = self._make_warmup(warmup) if warmup is not None else None
         self.idempotency = self._make_idempotency(config.store, loop) if config.store is not None else None
-        self.jsonrpc_frontend = JsonRpcFrontend(config, self.dispatcher, self.http_backend, self.is_healthy)
+        self.jsonrpc_frontend = self._make_jsonrpc_frontend()
         if scatter_gather is not None:
             self._make_scatter_gather(scatter_gather)
 
@@ -112,6 +113,11 @@
 
     # Components of every router
 
+    def _make_jsonrpc_frontend(self) -> JsonRpcFrontend:
+        longest_deadline_us = max(service_class.deadline_us for service_class in self.config.settings.classes)
+        ids = RequestIds(self.clock.now, longest_deadline_us, self.config.limits.max_request_ids)
+        return JsonRpcFrontend(self.config, self.dispatcher, self.http_backend, self.is_healthy, ids)
+
     def _make_http_backend(self, sockets: SocketBudget) -> HttpBackend:
         backend = HttpBackend(self.config, self.timers, self.connector, sockets, self.clock.now)
         backend.exact_now = self.clock.exact
--- a/tests/contracts/test_front_contract.py
+++ b/tests/contracts/test_front_contract.py
@@ -21,7 +21,9 @@
 from slipbay.core.model import Answer, Failed, Rejected, Request, Served
 from slipbay.frontends.jsonrpc import MAX_OPEN_REQUESTS, JsonRpcConnection, JsonRpcFrontend
 from slipbay.frontends.mysql import MysqlConnection
+from slipbay.frontends.request_ids import RequestIds
 from slipbay.frontends.server import Server
+from slipbay.policy.settings import Effect, ServiceClass, Settings
 from slipbay.wire import mysql, sql
 
 Connection: TypeAlias = JsonRpcConnection | MysqlConnection
@@ -113,7 +115,9 @@
         self.expected: dict[int, str] = {}  # expected answers by id
         self.last_id = 0
         config = SimpleNamespace(classes=("lookup",), tenants=())
-        frontend = JsonRpcFrontend(config, self, SimpleNamespace(), lambda: True)  # type: ignore[arg-type]
+        self.settings = Settings(classes=(ServiceClass(500_000, 2_500_000, Effect.SAFE),))
+        ids = RequestIds(self.loop.now, 0, 10_000)
+        frontend = JsonRpcFrontend(config, self, SimpleNamespace(), lambda: True, ids)  # type: ignore[arg-type]
         connection: Connection = self.kind(self.server, frontend)
         return connection
 
--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -6,8 +6,17 @@
 
 import pytest
 from crowds import QUERY_FORM
+from hypothesis import given
+from hypothesis import strategies as st
 from loopback import HOST, HttpCall, Loopback, StandInEngine, http_answer, run, until
 
+from slipbay.frontends.request_ids import (
+    MIN_UNSAFE_RETENTION_US,
+    SAFE_RETENTION_US,
+    ClaimResult,
+    RequestIds,
+)
+
 TXN_NUMBER = 0x9B1F03AA5C7E2D41
 OTHER_IDS = 9_000
 IDS_ON_A_CONNECTION = 32  # as many as may be open
@@ -57,3 +66,60 @@
             assert posts_of_the_load(engine) == 1, answer
 
     run(test)
+
+
+class Clock:
+    us = 0
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 12), st.booleans(), st.booleans(), st.integers(0, MIN_UNSAFE_RETENTION_US // 3)
+        ),
+        max_size=60,
+    )
+)
+def test_no_id_that_may_have_run_is_granted_within_its_retention(
+    steps: list[tuple[int, bool, bool, int]],
+) -> None:
+    """Each step claims an id, ends it after having run or not, and lets time pass."""
+    clock = Clock()
+    ids = RequestIds(lambda: clock.us, longest_deadline_us=25_000_000, max_ids=8)
+    held_until_us: dict[int, int] = {}
+    for id, is_unsafe, has_run, pause_us in steps:
+        result = ids.claim(id, is_unsafe, is_keyed=False)
+        is_held = held_until_us.get(id, -1) > clock.us
+        assert not (is_held and result is ClaimResult.GRANTED)
+        if result is ClaimResult.GRANTED:
+            ids.end(id, has_run)
+            assert (id in ids) == has_run
+            if has_run:
+                retention_us = MIN_UNSAFE_RETENTION_US if is_unsafe else SAFE_RETENTION_US
+                held_until_us[id] = clock.us + retention_us
+        elif result is ClaimResult.FULL:
+            assert (
+                sum(until_us > clock.us - MIN_UNSAFE_RETENTION_US for until_us in held_until_us.values()) >= 8
+            )
+        clock.us += pause_us
+
+
+def test_at_the_limit_new_ids_are_refused_until_old_ones_expire() -> None:
+    clock = Clock()
+    ids = RequestIds(lambda: clock.us, longest_deadline_us=0, max_ids=3)
+    for id in range(3):
+        assert ids.claim(id, is_unsafe=False, is_keyed=False) is ClaimResult.GRANTED
+        ids.end(id, may_have_run=True)
+    assert ids.claim(3, is_unsafe=False, is_keyed=False) is ClaimResult.FULL
+    assert ids.claim(0, is_unsafe=True, is_keyed=False) is ClaimResult.USED
+    clock.us += ids.retry_after_us()
+    assert ids.claim(3, is_unsafe=False, is_keyed=False) is ClaimResult.GRANTED
+
+
+def test_only_keyed_requests_may_come_again_under_the_id_of_a_keyed_one() -> None:
+    ids = RequestIds(lambda: 0, longest_deadline_us=0, max_ids=3)
+    assert ids.claim(1, is_unsafe=True, is_keyed=True) is ClaimResult.GRANTED
+    assert ids.claim(1, is_unsafe=True, is_keyed=True) is ClaimResult.GRANTED
+    ids.end(1, may_have_run=True)
+    assert ids.claim(1, is_unsafe=True, is_keyed=True) is ClaimResult.GRANTED
+    assert ids.claim(1, is_unsafe=False, is_keyed=False) is ClaimResult.USED
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -15,6 +15,7 @@
 
 from slipbay.config.model import Limits
 from slipbay.frontends.jsonrpc import JsonRpcConnection, JsonRpcFrontend
+from slipbay.frontends.request_ids import RequestIds
 from slipbay.frontends.server import Server
 from slipbay.policy.actions import Action
 from slipbay.stream import Stream
@@ -337,7 +338,8 @@
     """Guards against hundreds of silent connections that leave no descriptors for active clients."""
     loop = FakeLoop()
     server = Server(loop.timers, Limits(1.0, 192, 64), loop.now)  # 25 connections of clients
-    frontend = JsonRpcFrontend(SimpleNamespace(classes=(), tenants=()), None, None, lambda: True)  # type: ignore[arg-type]
+    ids = RequestIds(loop.now, 0, 100)
+    frontend = JsonRpcFrontend(SimpleNamespace(classes=(), tenants=()), None, None, lambda: True, ids)  # type: ignore[arg-type]
 
     def connect() -> tuple[JsonRpcConnection, FakeTransport]:
         while not server.has_room:
@@ -374,7 +376,8 @@
     and stay connected."""
     loop = FakeLoop()
     server = Server(loop.timers, Limits(1.0, 192, 64), loop.now)
-    frontend = JsonRpcFrontend(SimpleNamespace(classes=(), tenants=()), None, None, lambda: True)  # type: ignore[arg-type]
+    ids = RequestIds(loop.now, 0, 100)
+    frontend = JsonRpcFrontend(SimpleNamespace(classes=(), tenants=()), None, None, lambda: True, ids)  # type: ignore[arg-type]
     alive = b'{"jsonrpc":"2.0","id":1,"method":"alive"}\n'
 
     def connect(sent: bytes) -> FakeTransport:
