Limit what clients send by memory and by turns, before it is held rather than after

Cause, one class: a resource was bounded by a proxy of itself. They are mended in one commit, as input is buffered in one place for all of them.

What a client sent before it closed is dropped. - Many clients with a part of their first message do not displace an idle client that has sent a valid one; a message that takes over 0.25 s does not either.

--- a/slipbay/config/model.py
+++ b/slipbay/config/model.py
@@ -18,6 +18,8 @@
 """Fraction of all file descriptors for client connections; the platform guarantees clients a third."""
 RESERVED_SOCKETS = 32  # for the endpoint watch, the peers, the listeners and the loop itself
 MIN_ENGINE_SOCKETS = 8
+INPUT_MEMORY_DIVISOR = 8
+OUTPUT_MEMORY_DIVISOR = 10
 REQUEST_ID_MEMORY_DIVISOR = 16
 ID_BYTES = 100  # memory of one id of an earlier request
 MEMORY_DIVISOR = 4  # a quarter of the memory for client connections, another for open requests
@@ -135,6 +137,16 @@
         """Limit on unsent answers and incomplete requests of all client connections."""
         return self.memory_mb * 1024 * 1024 // MEMORY_DIVISOR
 
+    @property
+    def input_bytes(self) -> int:
+        """Limit on received bytes of clients that are not handled yet."""
+        return self.memory_mb * 1024 * 1024 // INPUT_MEMORY_DIVISOR
+
+    @property
+    def output_bytes(self) -> int:
+        """Size of all unsent answers from which clients that do not read are not read either."""
+        return self.memory_mb * 1024 * 1024 // OUTPUT_MEMORY_DIVISOR
+
     @property
     def max_request_ids(self) -> int:
         """Maximum number of ids of earlier requests that are held."""
--- a/slipbay/core/timers.py
+++ b/slipbay/core/timers.py
@@ -57,6 +57,10 @@
         """Run ``action`` after a delay, never within this call."""
         return self.at(self._clock.now() + delay_us, action)
 
+    def soon(self, action: Callable[[], None]) -> None:
+        """Run ``action`` in the next iteration of the event loop, after its received data."""
+        self._loop.call_soon(action)
+
     def entry_cancelled(self) -> None:
         """Count a cancelled entry, and rebuild the heap once most of its entries are cancelled."""
         self._cancelled_entries += 1
--- a/slipbay/frontends/jsonrpc.py
+++ b/slipbay/frontends/jsonrpc.py
@@ -107,6 +107,8 @@
 class JsonRpcConnection(ClientConnection):
     """One client's connection."""
 
+    max_message_bytes = MAX_LINE_BYTES
+
     def __init__(self, server: Server, frontend: JsonRpcFrontend) -> None:
         super().__init__(server)
         self._frontend = frontend
@@ -115,27 +117,35 @@
         self._last_id = 0
 
     @property
-    def busy(self) -> bool:
-        """Whether the connection has open requests."""
+    def has_open_requests(self) -> bool:
+        """Whether a request waits for its answer."""
         return bool(self._open)
 
     @property
     def unparsed(self) -> int:
-        """Received bytes of an incomplete line."""
+        """Received bytes that are not handled yet."""
         return self._lines.buffered_bytes
 
-    def received(self, data: bytes) -> None:
-        """Handles received bytes: processes all complete lines in order."""
+    def buffer_input(self, data: bytes) -> None:
+        """Buffers received bytes."""
+        self._lines.append(data)
+
+    def drop_input(self) -> None:
+        """Drops all bytes that are not handled yet."""
+        self._lines.clear()
+
+    def handle_message(self) -> bool:
+        """Handles the next complete line; returns False if there is none."""
         try:
-            lines = self._lines.feed(data)
+            line = self._lines.next_line()
         except LineTooLongError:
             log("client", "line too long; connection closed")
             self.abandon_requests()
             self.close_gracefully()
-            return
-        for line in lines:
-            if line:
-                self._take(line)
+            return False
+        if line:
+            self._take(line)
+        return line is not None
 
     def _take(self, line: bytes) -> None:
         try:
--- a/slipbay/frontends/mysql.py
+++ b/slipbay/frontends/mysql.py
@@ -201,7 +201,7 @@
         self._last_statement_number = 0
 
     @property
-    def busy(self) -> bool:
+    def has_open_requests(self) -> bool:
         """Whether a request is open or commands are queued."""
         return self._request is not None or bool(self._queued_commands)
 
@@ -212,6 +212,11 @@
             statement.long_data.size_bytes for statement in self._statements.values()
         )
 
+    @property
+    def max_message_bytes(self) -> int:
+        """Size of the longest packet; less before the login."""
+        return self._packets.max_payload_bytes
+
     @property
     def mid_message(self) -> bool:
         """Whether only a part of a packet has been received."""
@@ -237,11 +242,23 @@
             0,
         )
 
-    def received(self, data: bytes) -> None:
-        """Handles received bytes; a protocol error is answered and closes the connection."""
+    def buffer_input(self, data: bytes) -> None:
+        """Buffers received bytes, decrypted if the client uses TLS."""
         self.record_activity()
         try:
-            self._read(data)
+            self._buffer_plain(data)
+        except ssl.SSLError as problem:
+            self._abort_on_tls_error(problem)
+
+    def drop_input(self) -> None:
+        """Drops all bytes that are not handled yet."""
+        self._packets.clear()
+
+    def handle_message(self) -> bool:
+        """Handles the next packet; returns False if there is none, or if it was a protocol error, which is
+        answered and closes the connection."""
+        try:
+            return self._handle_next_packet()
         except mysql.PacketTooLargeError:
             self._close_with_error(0, mysql.ER_PACKET_TOO_LARGE, "Got a packet bigger than max_packet_bytes")
         except mysql.MalformedPacketError as problem:
@@ -251,24 +268,30 @@
                 str(problem),
             )
         except ssl.SSLError as problem:
-            log("client", "TLS error; connection aborted", reason=problem.reason or problem)
-            self.abort()
+            self._abort_on_tls_error(problem)
+        return False
+
+    def _abort_on_tls_error(self, problem: ssl.SSLError) -> None:
+        log("client", "TLS error; connection aborted", reason=problem.reason or problem)
+        self.abort()
 
-    def _read(self, data: bytes) -> None:
+    def _buffer_plain(self, data: bytes) -> None:
         if self._tls is not None:
-            plain = self._tls.feed(data)
+            data = self._tls.feed(data)
             self._flush()
             if self._tls.closed:
                 self.close()
-            data = plain
-        for sequence, payload in self._packets.feed(data):
-            tls = self._tls
-            self._handle_packet(sequence, payload)
-            if self._tls is not tls:  # all further bytes of the connection are TLS records
-                self._read(self._packets.rest())
-                return
-            if self.closing:
-                return
+        self._packets.append(data)
+
+    def _handle_next_packet(self) -> bool:
+        packet = self._packets.next_payload()
+        if packet is None:
+            return False
+        tls = self._tls
+        self._handle_packet(*packet)
+        if self._tls is not tls:  # all further bytes of the connection are TLS records
+            self._buffer_plain(self._packets.rest())
+        return True
 
     def _send(self, payloads: list[bytes], sequence: int) -> None:
         data, _ = mysql.packets(payloads, sequence)
--- a/slipbay/frontends/server.py
+++ b/slipbay/frontends/server.py
@@ -10,6 +10,8 @@
 from slipbay.address import Address
 from slipbay.config.model import Limits
 from slipbay.core.timers import Timer, Timers
+from slipbay.frontends.input_budget import InputBudget
+from slipbay.frontends.turns import TurnScheduler
 from slipbay.log import log
 from slipbay.stream import Stream
 
@@ -22,6 +24,10 @@
 MAX_ACCEPTS_PER_TURN = 32  # of the event loop, so that earlier clients are read before more are accepted
 LINGER_US = 250_000  # for a client to close its side after the router has closed its own
 MAX_UNCOUNTED_LINGERING = 12  # lingering connections that use reserve descriptors and do not count as clients
+MESSAGES_PER_CLOCK_READ = 4
+CROWD_DIVISOR = 4  # newcomers on more than this part of the client connections are a crowd
+SLOW_MESSAGE_US = 250_000  # from the first byte of a message on its rest is not expected soon
+MAX_READ_AHEAD_BYTES = 1024 * 1024  # of one connection
 MAX_UNSENT_BYTES = 2 * 1024 * 1024  # on one connection: the maximum of open requests with the longest answers
 
 
@@ -34,8 +40,9 @@
 
     NOTHING = 0  # idle for longer than a client keeps a connection that it still uses
     UNUSED = 1  # no message received yet; such connections must not displace those that send requests
-    IDLE = 2  # the client may soon use the connection again
-    PARTIAL_MESSAGE = 3  # part of a message received; the rest is on its way and may be a request
+    SLOW_MESSAGE = 2  # part of a message received, and the rest is not coming soon
+    IDLE = 3  # the client may soon use the connection again
+    PARTIAL_MESSAGE = 4  # part of a message received; the rest is on its way and may be a request
 
 
 class Server:
@@ -50,6 +57,8 @@
         self._room_check: Timer | None = None  # set while accepting is paused and clients wait in the backlog
         self.lingering: set[ClientConnection] = set()  # half-closed: the router's side is closed
         self.draining = False  # during shutdown: connections close once they have no open request
+        self.turns = TurnScheduler(timers.soon, now)
+        self.input_budget = InputBudget(limits.input_bytes, timers, now)
         self.on_empty: Callable[[], None] = lambda: None
         timers.after(SWEEP_US, self._sweep)
 
@@ -177,20 +186,28 @@
         """Closes idle connections to make room for others, except those with unread data."""
         now = self.now()
         evicted = 0
+        has_crowd = self._has_crowd_of_newcomers()
         idle = sorted(
-            (connection.eviction_cost(now), connection.last_active_us, id(connection), connection)
+            (connection.eviction_cost(now, has_crowd), connection.last_active_us, id(connection), connection)
             for connection in self.connections
             if not (connection.busy or connection.closing)
         )
         for cost, _, _, connection in idle:
             if connection.has_unread_data():
                 continue
+            if has_crowd and cost >= EvictionCost.IDLE:
+                break
             if evicted >= (MAX_CHEAP_EVICTIONS if cost < EvictionCost.IDLE else 1):
                 break
             log("client", "connection limit reached; an idle connection is closed")
             connection.close_gracefully()
             evicted += 1
 
+    def _has_crowd_of_newcomers(self) -> bool:
+        """Whether many clients have sent a part of their first message; they must not displace others."""
+        newcomers = sum(connection.is_newcomer for connection in self.connections)
+        return newcomers * CROWD_DIVISOR > self._limits.client_sockets
+
     def add(self, connection: ClientConnection) -> None:
         """Registers an established connection."""
         self.connections.add(connection)
@@ -213,6 +230,7 @@
         """Forgets a closed connection, and resumes accepting."""
         self.connections.discard(connection)
         self.lingering.discard(connection)
+        self.input_budget.remove(connection)
         self._resume_accepting()
         if self.draining and not self.connections:
             self.on_empty()
@@ -252,19 +270,36 @@
 
     idle_us = FIRST_MESSAGE_TIMEOUT_US  # until the first complete message
     has_sent_message = False
+    has_backlog = False  # received messages wait for a later turn
+    client_has_left = False  # it has closed its side; what it sent before is dropped
+
+    awaits_room = False  # the rest of a message is not read until there is memory for it
 
     def __init__(self, server: Server) -> None:
         self.server = server
         self.last_active_us = server.now()
+        self.last_received_us = self.last_active_us
+        self.receive_bytes = server.input_budget.receive_bytes
+        self._message_began_us: int | None = None  # when the first bytes of an incomplete message came
 
     @property
     def busy(self) -> bool:
-        """Whether the connection has an open request."""
+        """Whether the connection has an open request, or received messages that may be requests."""
+        return self.has_open_requests or self.has_backlog
+
+    @property
+    def has_open_requests(self) -> bool:
+        """Whether a request waits for its answer."""
         raise NotImplementedError
 
     @property
     def unparsed(self) -> int:
-        """Received bytes that have not been processed, as their message is incomplete."""
+        """Received bytes that have not been handled."""
+        raise NotImplementedError
+
+    @property
+    def max_message_bytes(self) -> int:
+        """Size of the longest message."""
         raise NotImplementedError
 
     @property
@@ -272,10 +307,20 @@
         """Whether only a part of a message has been received."""
         return bool(self.unparsed)
 
-    def eviction_cost(self, now: int) -> EvictionCost:
-        """Cost to the client of closing the connection; valid only while it has no open request."""
+    @property
+    def is_newcomer(self) -> bool:
+        """Whether the client has sent a part of its first message and no more."""
+        return bool(self.unparsed) and not (self.has_sent_message or self.busy)
+
+    def eviction_cost(self, now: int, has_crowd: bool = False) -> EvictionCost:
+        """Cost to the client of closing the connection; valid only while it has no open request.
+
+        ``has_crowd``: there are so many newcomers that each costs less than an idle client.
+        """
         if self.unparsed:
-            return EvictionCost.PARTIAL_MESSAGE
+            began_us = now if self._message_began_us is None else self._message_began_us
+            is_slow = now - began_us >= SLOW_MESSAGE_US or (has_crowd and self.is_newcomer)
+            return EvictionCost.SLOW_MESSAGE if is_slow else EvictionCost.PARTIAL_MESSAGE
         if 3 * (now - self.last_active_us) >= 2 * self.idle_us:
             return EvictionCost.NOTHING
         return EvictionCost.IDLE if self.has_sent_message else EvictionCost.UNUSED
@@ -310,18 +355,118 @@
 
         The transport closes, and ``ended`` follows, only once the client has read all answers.
         """
-        self.abandon_requests()
+        self._client_left()
 
     def abandon_requests(self) -> None:
         """Abandons all open requests after the client has disconnected. May be called twice."""
         raise NotImplementedError
 
     def buffer_updated(self, nbytes: int) -> None:
-        """Handles received bytes; while the server drains, closes the connection once it has no request."""
-        super().buffer_updated(nbytes)
+        """Handles received bytes, and those that the kernel still has, so that the end of the connection is
+        noticed before the requests in front of it are sent."""
+        if nbytes == len(self.get_buffer(-1)) and not self.half_closed:
+            self.buffer_input(bytes(self.get_buffer(-1)))
+            self._read_ahead()
+            self.received(b"")
+        else:
+            super().buffer_updated(nbytes)
         if self.server.draining:
             self.close_if_drained()
 
+    def _read_ahead(self) -> None:
+        """Reads until no more data is there, the client has closed its side, or the limit is reached."""
+        budget = self.server.input_budget
+        while self.sock is not None and not self.closing and self.unparsed < MAX_READ_AHEAD_BYTES:
+            budget.update(self)
+            if not budget.has_room_to_read_ahead():
+                return
+            try:
+                data = self.sock.recv(self.receive_bytes)
+            except OSError:  # no more data, or a broken connection, whose end the transport reports
+                return
+            if not data:
+                self.client_has_left = True  # the transport reads the end again
+                return
+            self.buffer_input(data)
+
+    def received(self, data: bytes) -> None:
+        """Handles received bytes: their complete messages in order, as far as one turn permits."""
+        self.last_received_us = self.server.now()
+        if data:
+            self.buffer_input(data)
+        if not self.has_backlog:
+            self.server.turns.run(self)
+
+    def handle_messages(self, until_us: int) -> bool:
+        """Handles messages until a time; returns whether complete messages may be left.
+
+        What a client sent before it closed the connection is dropped, as it waits for no answer.
+        """
+        if self.client_has_left or self.has_peer_closed():
+            self._client_left()
+        handled = 0
+        while not self.closing and self.handle_message():
+            handled += 1
+            if handled % MESSAGES_PER_CLOCK_READ == 0 and self.server.turns.exact_now() >= until_us:
+                self.server.input_budget.update(self)
+                self._set_reading(has_backlog=True, awaits_room=False)
+                return True
+        if self.closing:
+            self.drop_input()
+        self._note_rest(handled)
+        if self.server.draining:
+            self.close_if_drained()
+        return False
+
+    def _note_rest(self, handled: int) -> None:
+        """Account for the incomplete message that is left after ``handled`` complete ones."""
+        if not self.unparsed:
+            self._message_began_us = None
+        elif handled or self._message_began_us is None:
+            self._message_began_us = self.server.now()
+        budget = self.server.input_budget
+        budget.update(self)
+        self._set_reading(has_backlog=False, awaits_room=not budget.admit(self))
+
+    def _set_reading(self, has_backlog: bool, awaits_room: bool) -> None:
+        if (has_backlog, awaits_room) != (self.has_backlog, self.awaits_room):
+            self.has_backlog = has_backlog
+            self.awaits_room = awaits_room
+            self.flow_changed()
+
+    def room_granted(self) -> None:
+        """Reads on, as there is memory for the rest of the message."""
+        self._set_reading(self.has_backlog, awaits_room=False)
+
+    @property
+    def is_reclaimable(self) -> bool:
+        """Whether closing the connection loses no request that the client has sent completely."""
+        return not (self.busy or self.closing or self.has_unread_data())
+
+    def reclaim_input(self) -> None:
+        """Drops an incomplete message and closes the connection."""
+        self.drop_input()
+        self._note_rest(0)
+        self.close_gracefully()
+
+    def _client_left(self) -> None:
+        self.client_has_left = True
+        self.drop_input()
+        self._note_rest(0)
+        self.abandon_requests()
+
+    def buffer_input(self, data: bytes) -> None:
+        """Buffers received bytes."""
+        raise NotImplementedError
+
+    def drop_input(self) -> None:
+        """Drops all bytes that are not handled yet."""
+        raise NotImplementedError
+
+    def handle_message(self) -> bool:
+        """Handles the next complete message; returns False if there is none."""
+        raise NotImplementedError
+
     def close_if_drained(self) -> None:
         """Closes the connection during a drain, if it has no open request and no unread or partial message.
 
@@ -339,13 +484,16 @@
         self.server.add_lingering(self)
 
     def flow_changed(self) -> None:
-        """Pauses reading while the client does not read its answers, so that it cannot send more requests.
+        """Pauses reading while the client does not read its answers, so that it cannot send more requests,
+        while received messages wait for their turn, and while a message waits for memory.
 
         Otherwise the connection is always read, as the client may cancel a request or disconnect.
         """
-        if self.transport is not None and not self.transport.is_closing():
-            if self.congested:
-                self.transport.pause_reading()
-                self.server.bound_memory()
-            else:
-                self.transport.resume_reading()
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self.congested:
+            self.server.bound_memory()
+        if self.congested or self.has_backlog or self.awaits_room:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
--- a/slipbay/router.py
+++ b/slipbay/router.py
@@ -89,6 +89,7 @@
         )
         self.policy.on_timer_cancelled(self.dispatcher.cancel_policy_timer)
         self.server = Server(self.timers, config.limits, self.clock.now)
+        self.server.turns.exact_now = self.clock.exact
         self.shutdown = GracefulShutdown(self.timers, self.dispatcher, self.server, config.settings.classes)
         sockets = SocketBudget(config.limits.engine_sockets)
         self.http_backend = self._make_http_backend(sockets)
--- a/slipbay/stream.py
+++ b/slipbay/stream.py
@@ -14,6 +14,8 @@
 _RECEIVE_BUFFER = bytearray(RECEIVE_BYTES)
 _RECEIVE_VIEW = memoryview(_RECEIVE_BUFFER)
 CONNECT_STARTED = (0, errno.EINPROGRESS, errno.EINTR)  # results of ``connect_ex`` that are no failure
+# The first byte of the kernel's tcp_info: CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING
+PEER_CLOSED_STATES = frozenset((7, 8, 9, 11))
 PEEK_FLAGS = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)  # computed once, as combining enum flags is slow
 
 
@@ -28,6 +30,7 @@
     sock: socket.socket | None = None  # socket of the transport, to check for unread data
     lost = False
     closed_locally = False  # closed by this process
+    receive_bytes = RECEIVE_BYTES  # most that is received at once
     congested = False  # the write buffer is above the transport's high-water mark
     half_closed = False  # the write side is closed; received data is dropped
 
@@ -45,7 +48,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002 - the signature is asyncio's
         """The buffer into which asyncio writes received data; shared by all connections."""
-        return _RECEIVE_VIEW
+        return _RECEIVE_VIEW[: self.receive_bytes]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Called by asyncio when it has written ``nbytes`` bytes to the buffer."""
@@ -102,6 +105,16 @@
         except OSError:  # no data has arrived, or the connection is broken
             return False
 
+    def has_peer_closed(self) -> bool:
+        """Whether the other side has closed or reset the connection, even if data before that is unread."""
+        try:
+            return (
+                self.sock is not None
+                and self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in PEER_CLOSED_STATES
+            )
+        except OSError:  # the state is not known here; the end is noticed when it is read
+            return False
+
     def close(self) -> None:
         """Close after all written data has been sent."""
         self.closed_locally = True
--- a/slipbay/wire/mysql.py
+++ b/slipbay/wire/mysql.py
@@ -131,29 +131,44 @@
 
     def feed(self, data: bytes) -> Iterator[tuple[int, bytes]]:
         """Complete payloads in order. Payloads not taken from this iterator are returned by the next call."""
+        self.append(data)
+        return iter(self.next_payload, None)
+
+    def append(self, data: bytes) -> None:
+        """Buffer received bytes."""
         self._data += data
-        return self._complete_payloads()
 
-    def _complete_payloads(self) -> Iterator[tuple[int, bytes]]:
+    def next_payload(self) -> tuple[int, bytes] | None:
+        """Remove and return the next complete payload; None if there is none.
+
+        Raises:
+            PacketTooLargeError: if the payload exceeds the limit, complete or not.
+        """
         while len(self._data) >= PACKET_HEAD_BYTES:
             size = int.from_bytes(self._data[:3], "little")
             sequence = self._data[3]
             if len(self._payload) + size > self.max_payload_bytes:
                 raise PacketTooLargeError
             if len(self._data) < PACKET_HEAD_BYTES + size:
-                return
+                return None
             self._payload += self._data[PACKET_HEAD_BYTES : PACKET_HEAD_BYTES + size]
             del self._data[: PACKET_HEAD_BYTES + size]
             if size < MAX_PACKET_PAYLOAD_BYTES:
                 payload = bytes(self._payload)
                 self._payload.clear()
-                yield sequence, payload
+                return sequence, payload
+        return None
 
     @property
     def buffered_bytes(self) -> int:
         """Received bytes that are not returned yet."""
         return len(self._data) + len(self._payload)
 
+    def clear(self) -> None:
+        """Drop all buffered bytes."""
+        self._data = bytearray()
+        self._payload = bytearray()
+
     def rest(self) -> bytes:
         """Remove and return the unparsed bytes, as the connection switches to another protocol."""
         rest = bytes(self._data)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -120,6 +120,9 @@
     def recv(self, size: int, flags: int) -> bytes:
         raise BlockingIOError
 
+    def getsockopt(self, level: int, option: int, size: int) -> bytes:
+        return bytes([1])  # established
+
     def shutdown(self, how: int) -> None: ...
 
 
