--- a/tests/test_close_races.py
+++ b/tests/test_close_races.py
@@ -271,6 +271,7 @@
     """A stand-in for a connection with an open request."""
 
     busy = True
+    is_newcomer = False
     closes_next_turn = False
 
 
--- a/tests/test_scatter.py
+++ b/tests/test_scatter.py
@@ -452,11 +452,13 @@
                 "report", "SELECT 1 FROM sales_7.orders"
             )  # without the placeholder it is not scattered
             assert "parts" not in (await client.answer())["result"]
+            scatterer = net.router.jsonrpc_frontend.scatterer
+            assert isinstance(scatterer, Scatterer)
             client.cancel(client.query("report", STATEMENT.decode()))
+            await until(lambda: scatterer.counts["report"]["left"] == 1)
             client.query("report", STATEMENT.decode())
+            await until(lambda: bool(scatterer.open))
             client.writer.transport.abort()
-            scatterer = net.router.jsonrpc_frontend.scatterer
-            assert isinstance(scatterer, Scatterer)
             await until(
                 lambda: scatterer.counts["report"]["left"] == 2 and not net.router.dispatcher.requests
             )
