Let no idle engine connection keep a result, and bound the results that are received

Cause: the call of an engine connection kept its fence, which refers to the exchange, until the next call; each idle connection so kept the pages of the last result that came on it (2,400 to 3,000 pages of 6 KB alive, tracemalloc). Besides, results in flight were bounded by the number of connections alone.

Change: a call that has ended keeps nothing, an exchange that has ended drops its pages, and an exchange reserves room for the whole result before it requests the second page (backends/result_budget.py, a sixteenth of the memory). While it waits, its connection is kept; who has room always ends and returns it.

--- a/slipbay/backends/http.py
+++ b/slipbay/backends/http.py
@@ -12,6 +12,7 @@
     Pool,
     SocketBudget,
 )
+from slipbay.backends.result_budget import ResultBudget
 from slipbay.config.model import Config
 from slipbay.core.model import Attempt, Endpoint, Exchange, OutcomeQuery
 from slipbay.core.timers import Timers
@@ -20,6 +21,7 @@
 from slipbay.stream import Connector
 from slipbay.wire import http1
 
+DEFAULT_RESULT_BYTES = 12 * 1024 * 1024
 SWEEP_US = 1_000_000  # interval between searches for expired connections and unused pools
 
 
@@ -41,6 +43,8 @@
         self.now = now
         # The router replaces this with its exact clock, which may be later than ``now`` in a turn of the loop
         self.exact_now = now
+        # The router replaces this with a budget by its memory
+        self.result_budget = ResultBudget(DEFAULT_RESULT_BYTES)
         self._connector = connector
         self._sockets = sockets
         self.call_soon = connector.loop.call_soon
--- a/slipbay/backends/http_connection.py
+++ b/slipbay/backends/http_connection.py
@@ -148,6 +148,7 @@
             return
         self._responded = None
         self._interrupted = None
+        self._fence = None  # refers to the exchange, which must not live as long as the connection
         self._cancel_fence()
         self.is_doubtful = is_doubtful
         responded(response)
@@ -157,6 +158,7 @@
         interrupted = self._interrupted
         self._interrupted = None
         self._responded = None
+        self._fence = None
         self._cancel_fence()
         super().ended()
         if interrupted is not None:
--- a/slipbay/backends/http_exchange.py
+++ b/slipbay/backends/http_exchange.py
@@ -17,6 +17,7 @@
     PendingAcquire,
     Pool,
 )
+from slipbay.backends.result_budget import ResultBudget, ResultReservation
 from slipbay.core.model import Attempt
 from slipbay.core.timers import Timer, Timers
 from slipbay.log import log
@@ -35,6 +36,7 @@
 # A result with more bytes in all its pages is an error; engines limit a result to 48,000 bytes
 MAX_RESULT_BYTES = 64 * 1024
 MAX_PAGES = 1000
+PAGE_BYTES = 6_000
 MAX_PAGE_DIGITS = 6
 ANSWER_STATUSES = (
     http1.ACCEPTED,
@@ -58,6 +60,7 @@
     exact_now: Callable[[], int]
     """The current time, which may be later than the time of this turn of the loop."""
     classes: tuple[str, ...]
+    result_budget: ResultBudget
 
     def call_soon(self, callback: Callable[[], object], /) -> object:
         """Call a function in the next turn of the loop."""
@@ -104,7 +107,9 @@
         # A connection broke since the last answer: the engine may have restarted
         self._is_process_uncertain = False
         self._is_unknown_to_engine = False  # an engine that was unreachable answers that it has no such query
-        # A progress note that the policy has not received yet, and the connection on which it arrived
+        self._reservation: ResultReservation | None = None  # memory for the result
+        # An answer after which the next poll has to wait, and the connection on which it arrived: the policy
+        # has not received its progress note yet, or there is no memory for the rest of the result
         self._held_answer: tuple[HttpConnection, http1.Response] | None = None
         self._failures = 0  # malformed answers and broken connections
         self._pages: list[bytes] = []
@@ -317,7 +322,7 @@
             self._backend.call_soon(self._resume_polling)
 
     def _resume_polling(self) -> None:
-        """Poll again, as the policy has received the note."""
+        """Poll again, as the policy has received the note, or there is memory for the result."""
         if self._held_answer is not None:
             connection, response = self._held_answer
             self._held_answer = None
@@ -355,8 +360,20 @@
         elif self._stop_outcome is not None:
             connection.finish_call(response)
             self._finish(self._stop_outcome)  # the query has ended, and its outcome is decided
-        else:
+        elif self._has_room_for_result():
             self._poll_next(connection, response)
+        else:
+            self._held_answer = connection, response
+
+    def _room_granted(self) -> None:
+        self._backend.call_soon(self._resume_polling)
+
+    def _has_room_for_result(self) -> bool:
+        """Whether the remaining pages may be requested now; if not, ``_resume_polling`` is called later."""
+        if self._reservation is None:
+            size_bytes = min(self._page_count * PAGE_BYTES, MAX_RESULT_BYTES)
+            self._reservation = self._backend.result_budget.reserve(size_bytes, self._room_granted)
+        return self._reservation.is_granted
 
     # Failures
 
@@ -494,6 +511,8 @@
             return
         self._is_ended = True
         self._release_held_connection()
+        if self._reservation is not None:
+            self._reservation.release()
         for pending in (self._pending, self._pending_delete):
             if pending is not None:
                 pending.cancel()
@@ -503,4 +522,5 @@
             self._call_connection.abandon(self._backend.now() + CALL_TIMEOUT_US)
             if self._backend.now() - self._last_call_us >= LONG_POLL_US + TRANSIT_US:
                 self._call_connection.abort()  # data that is still in transit must not arrive later
-        self._attempt.finish(outcome, b"".join(self._pages) if outcome is Outcome.OK else None)
+        pages, self._pages = self._pages, []
+        self._attempt.finish(outcome, b"".join(pages) if outcome is Outcome.OK else None)
--- a/slipbay/config/model.py
+++ b/slipbay/config/model.py
@@ -20,6 +20,7 @@
 MIN_ENGINE_SOCKETS = 8
 INPUT_MEMORY_DIVISOR = 8
 OUTPUT_MEMORY_DIVISOR = 10
+RESULT_MEMORY_DIVISOR = 16
 REQUEST_ID_MEMORY_DIVISOR = 16
 ID_BYTES = 100  # memory of one id of an earlier request
 MEMORY_DIVISOR = 4  # a quarter of the memory for client connections, another for open requests
@@ -147,6 +148,11 @@
         """Size of all unsent answers from which clients that do not read are not read either."""
         return self.memory_mb * 1024 * 1024 // OUTPUT_MEMORY_DIVISOR
 
+    @property
+    def result_bytes(self) -> int:
+        """Limit on the results that are being received from engines."""
+        return self.memory_mb * 1024 * 1024 // RESULT_MEMORY_DIVISOR
+
     @property
     def max_request_ids(self) -> int:
         """Maximum number of ids of earlier requests that are held."""
--- a/slipbay/router.py
+++ b/slipbay/router.py
@@ -14,6 +14,7 @@
 from slipbay.backends.http import HttpBackend
 from slipbay.backends.mysql import MysqlBackend
 from slipbay.backends.pool import SocketBudget
+from slipbay.backends.result_budget import ResultBudget
 from slipbay.clock import Clock
 from slipbay.config.model import Config, StoreConfig
 from slipbay.config.validation import ConfigError
@@ -122,6 +123,7 @@
     def _make_http_backend(self, sockets: SocketBudget) -> HttpBackend:
         backend = HttpBackend(self.config, self.timers, self.connector, sockets, self.clock.now)
         backend.exact_now = self.clock.exact
+        backend.result_budget = ResultBudget(self.config.limits.result_bytes)
         self.dispatcher.backends.append(backend)
         return backend
 
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -212,11 +212,21 @@
     return b'{"jsonrpc":"2.0","id":%d,"method":"name-%d"}\n' % (number, time.monotonic_ns())
 
 
+async def ask_and_read_nothing(connection: socket.socket) -> None:
+    """Sends as many queries as may be open, some at a time, and reads no answer."""
+    loop = asyncio.get_running_loop()
+    for first in range(1, 1000, 8):
+        lines = [new_query(first + offset) for offset in range(8)]
+        await loop.sock_sendall(connection, b"".join(lines))
+        await asyncio.sleep(0.2)
+
+
 PLAYS: dict[str, CrowdClient] = {
     "stop_half_way": stop_half_way,
     "write_slowly": write_slowly,
     "send_many_fields": send_many_fields,
     "read_nothing": read_nothing,
+    "ask_and_read_nothing": ask_and_read_nothing,
     "flood_queries": flood(new_query),
     "flood_unsound": flood(unsound_line),
 }
--- a/tests/limited_router.py
+++ b/tests/limited_router.py
@@ -10,9 +10,11 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from loopback import HOST, StandInEndpointList, StandInEngine, event, host
+from loopback import HOST, StandInEndpointList, StandInEngine, event, host, one_page
 from test_process import ROOT, configure
 
+from slipbay.rig.standins import Script
+
 MEMORY_MB = 64
 ENGINES = 8
 HEARTBEAT_S = 0.7
@@ -37,9 +39,11 @@
 
 
 @contextlib.asynccontextmanager
-async def router_process(folder: Path, sockets: int) -> AsyncIterator[RouterUnderTest]:
+async def router_process(
+    folder: Path, sockets: int, script: Script = one_page
+) -> AsyncIterator[RouterUnderTest]:
     """Runs a router process with engines that answer at once."""
-    engines = [StandInEngine() for _ in range(ENGINES)]
+    engines = [StandInEngine(script) for _ in range(ENGINES)]
     for engine in engines:
         await engine.start()
     journal = StandInEndpointList()
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -9,7 +9,7 @@
 import pytest
 from crowds import QUERY_FORM, Observed, behave_well, crowd_process
 from limited_router import MEMORY_MB, router_process
-from loopback import HOST, run
+from loopback import HOST, HttpCall, http_answer, run
 
 QUIET_S = 1.5
 CROWD_S = 5.0
@@ -18,6 +18,7 @@
 FINISHED_REQUESTS = 32_000
 OPEN_REQUESTS = 32  # of one client
 FIRST_TXN = 1 << 60
+PAGE = b"x" * 5_990 + b"\tb\tc\n"
 
 
 async def observe(folder: Path, play: str, clients: int, sockets: int) -> tuple[Observed, Observed, float]:
@@ -78,6 +79,28 @@
     run(test)
 
 
+async def answer_eight_pages(call: HttpCall, writer: asyncio.StreamWriter) -> bytes | None:
+    """Answers queries with 48,000 bytes in eight pages."""
+    if call.method in ("DELETE", "PUT"):
+        return http_answer(204)
+    number = int(call.path.rpartition("/")[2]) if call.method == "GET" else 0
+    return http_answer(200, PAGE, **({"X_Sheet": str(number)} if number else {"X_Sheets": "8"}))
+
+
+def test_clients_that_read_no_long_answers_keep_the_process_within_its_memory(tmp_path: Path) -> None:
+    """Guards against answers that are held without a limit, as clients ask and do not read."""
+
+    async def test() -> None:
+        async with router_process(tmp_path, 1024, answer_eight_pages) as router:
+            async with crowd_process(router.port, 200, "ask_and_read_nothing"):
+                beside = await behave_well(router.port, 2 * CROWD_S)
+            print(f"{beside} {router.memory_peak_mb:.1f} MB", router.log.decode()[-300:])
+            assert router.memory_peak_mb <= MEMORY_MB
+            assert beside.ended == beside.unanswered == 0, str(beside)
+
+    run(test)
+
+
 def test_finished_requests_hold_no_memory_until_their_deadline(tmp_path: Path) -> None:
     """Guards against memory that grows with each request of a class with a long deadline."""
 
