Read no more from clients that do not read while unsent answers take too much memory

Cause: a connection could have 2 MiB of unsent answers before it was not read any more, and all together were looked at each 0.5 s.

Change: frontends/output_budget.py adds up unsent answers when one connection has more than 16 KB, at most each 10 ms. A client that leaves while its connection is not read, for this or another reason, is noticed by the kernel's TCP state each 50 ms, so that its open requests are abandoned in time.

--- a/slipbay/frontends/server.py
+++ b/slipbay/frontends/server.py
@@ -11,6 +11,8 @@
 from slipbay.config.model import Limits
 from slipbay.core.timers import Timer, Timers
 from slipbay.frontends.input_budget import InputBudget
+from slipbay.frontends.output_budget import FREE_BYTES as FREE_UNSENT_BYTES
+from slipbay.frontends.output_budget import MAX_UNSENT_BYTES, OutputBudget
 from slipbay.frontends.turns import TurnScheduler
 from slipbay.log import log
 from slipbay.stream import Stream
@@ -25,10 +27,10 @@
 LINGER_US = 250_000  # for a client to close its side after the router has closed its own
 MAX_UNCOUNTED_LINGERING = 12  # lingering connections that use reserve descriptors and do not count as clients
 MESSAGES_PER_CLOCK_READ = 4
+DEPARTURE_CHECK_US = 50_000
 CROWD_DIVISOR = 4  # newcomers on more than this part of the client connections are a crowd
 SLOW_MESSAGE_US = 250_000  # from the first byte of a message on its rest is not expected soon
 MAX_READ_AHEAD_BYTES = 1024 * 1024  # of one connection
-MAX_UNSENT_BYTES = 2 * 1024 * 1024  # on one connection: the maximum of open requests with the longest answers
 
 
 class EvictionCost(IntEnum):
@@ -59,6 +61,8 @@
         self.draining = False  # during shutdown: connections close once they have no open request
         self.turns = TurnScheduler(timers.soon, now)
         self.input_budget = InputBudget(limits.input_bytes, timers, now)
+        self.output_budget = OutputBudget(limits.output_bytes, self.connections, now, self.bound_memory)
+        self._departure_check: Timer | None = None  # set while a connection with open requests is not read
         self.on_empty: Callable[[], None] = lambda: None
         timers.after(SWEEP_US, self._sweep)
 
@@ -235,6 +239,19 @@
         if self.draining and not self.connections:
             self.on_empty()
 
+    def watch_departures(self) -> None:
+        """Notices, until all connections are read again, the ends of those with open requests."""
+        if self._departure_check is None:
+            self._departure_check = self._timers.after(DEPARTURE_CHECK_US, self._check_departures)
+
+    def _check_departures(self) -> None:
+        self._departure_check = None
+        unread = [c for c in self.connections if c.is_reading_paused and c.has_open_requests]
+        for connection in unread:
+            connection.abandon_if_departed()
+        if unread:
+            self.watch_departures()
+
     def _sweep(self) -> None:
         """Closes idle connections, and enforces the memory limit, as buffers may grow in small steps."""
         now = self.now()
@@ -273,6 +290,8 @@
     has_backlog = False  # received messages wait for a later turn
     client_has_left = False  # it has closed its side; what it sent before is dropped
 
+    is_reading_paused = False
+    _max_unsent_bytes = MAX_UNSENT_BYTES
     awaits_room = False  # the rest of a message is not read until there is memory for it
 
     def __init__(self, server: Server) -> None:
@@ -342,9 +361,26 @@
     def opened(self) -> None:
         """Registers the established connection with the server."""
         if self.transport is not None:
-            self.transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
+            self.transport.set_write_buffer_limits(high=self._max_unsent_bytes)
         self.server.add(self)
 
+    def write(self, data: bytes) -> None:
+        """Sends bytes; a client that does not read them is not read either once there are too many."""
+        super().write(data)
+        if self.unsent > FREE_UNSENT_BYTES:
+            self.server.output_budget.check()
+
+    def limit_unsent(self, max_bytes: int) -> None:
+        """Reads no more from the client while it has more unsent answers."""
+        if max_bytes != self._max_unsent_bytes and self.transport is not None:
+            self._max_unsent_bytes = max_bytes
+            self.transport.set_write_buffer_limits(high=max_bytes)
+
+    def abandon_if_departed(self) -> None:
+        """Abandons the requests of a client that has closed its side, although the end is not read yet."""
+        if self.has_peer_closed():
+            self._client_left()
+
     def ended(self) -> None:
         """Handles the end of the connection: removes it from the server and abandons its requests."""
         self.server.remove(self)
@@ -493,7 +529,9 @@
             return
         if self.congested:
             self.server.bound_memory()
-        if self.congested or self.has_backlog or self.awaits_room:
+        self.is_reading_paused = self.congested or self.has_backlog or self.awaits_room
+        if self.is_reading_paused:
             self.transport.pause_reading()
+            self.server.watch_departures()
         else:
             self.transport.resume_reading()
