Count what Python holds for each payload of a MySQL result

Cause: the limit of 4 MiB counted bytes of payloads; an empty row has none, and a short one some 50 bytes of objects. Class: a resource is bounded by a proxy of itself. Change: 64 bytes are counted for each payload beside its own.

All results together are still bounded by the number of connections alone (docs/capacity.md).

Measured: test_mysql_results failed 4 of 4 before (12.7 to 13.5 MB held of one result and still open, bound 12.6) and passes 4 of 4.

--- a/slipbay/backends/mysql_connection.py
+++ b/slipbay/backends/mysql_connection.py
@@ -12,6 +12,7 @@
 from slipbay.wire import mysql
 
 MAX_RESULT_BYTES = 4 * 1024 * 1024
+PAYLOAD_OVERHEAD_BYTES = 64  # held for each payload beside its bytes
 CONNECTION_LIMIT_ERRORS = (mysql.ER_CON_COUNT, mysql.ER_TOO_MANY_USER_CONNECTIONS, mysql.ER_USER_LIMIT)
 
 
@@ -34,7 +35,7 @@
         self._reader: AnswerReader | None = None
         self._on_done: Callable[[], None] | None = None
         self._on_interrupted: Callable[[], None] | None = None
-        self._answer_bytes = 0  # bytes of the answer so far
+        self._answer_bytes = 0  # held for the answer so far
         self.thread = 0  # MySQL's thread id of this connection, for KILL
         # By SQL text: the statement id and its description; the least recently used statement is first
         self.statements: OrderedDict[bytes, tuple[int, mysql.Prepared]] = OrderedDict()
@@ -138,7 +139,7 @@
         self.write(b"".join(mysql.packets([payload], 0)[0] for payload in payloads))
 
     def _handle_answer(self, _sequence: int, payload: bytes) -> None:
-        self._answer_bytes += len(payload)
+        self._answer_bytes += len(payload) + PAYLOAD_OVERHEAD_BYTES
         if self._reader is None:
             raise mysql.MalformedPacketError("a packet without a command")
         if self._answer_bytes > MAX_RESULT_BYTES:
