Log what the router holds while its resident memory is near the limit

The operators' logs could not say what filled the memory of a router before it was killed: lines of single connections, five a second, were all there was. Each half second in which the resident memory is over three quarters of the limit, a line now has it with the number of clients, their unparsed and unsent bytes and the open requests.

Cost: one read of /proc/self/statm each 0.5 s.

--- a/slipbay/frontends/server.py
+++ b/slipbay/frontends/server.py
@@ -265,6 +265,14 @@
         self.bound_memory()
         self._timers.after(SWEEP_US, self._sweep)
 
+    def held(self) -> dict[str, int]:
+        """Number of client connections, and the bytes that they hold."""
+        return {
+            "clients": len(self.connections),
+            "unparsed_bytes": sum(connection.unparsed for connection in self.connections),
+            "unsent_bytes": sum(connection.unsent for connection in self.connections),
+        }
+
     def bound_memory(self) -> None:
         """Aborts the connections with the largest buffers until all together are within the limit."""
         largest_first = sorted(((c.unsent + c.unparsed, id(c), c) for c in self.connections), reverse=True)
--- a/slipbay/router.py
+++ b/slipbay/router.py
@@ -29,6 +29,7 @@
 from slipbay.lifecycle import GracefulShutdown, RunningConfig, read_new_config
 from slipbay.log import log
 from slipbay.membership.settings import MembershipConfig
+from slipbay.memory_watch import MemoryWatch
 from slipbay.peer_channel.settings import ChannelConfig
 from slipbay.peers.udp import PeerSocket
 from slipbay.policy import Controller
@@ -108,6 +109,7 @@
         self.jsonrpc_frontend = self._make_jsonrpc_frontend()
         if scatter_gather is not None:
             self._make_scatter_gather(scatter_gather)
+        self._memory_watch = MemoryWatch(self.timers, config.limits.memory_mb, self._held_by_clients)
 
     def is_healthy(self) -> bool:
         """Whether the router can serve clients: it has an endpoint list, listens and is not shutting down."""
@@ -289,6 +291,10 @@
 
     # Callbacks of components
 
+    def _held_by_clients(self) -> dict[str, int]:
+        """Sizes and numbers of what clients make the router hold, for the log."""
+        return {**self.server.held(), "open_requests": len(self.dispatcher.requests)}
+
     def _fleet_size_changed(self, live_routers: int) -> None:
         self.dispatcher.notify(FleetSize(live_routers))
         if self.quotas is not None:
