--- a/slipbay/discovery/endpoint_watch.py
+++ b/slipbay/discovery/endpoint_watch.py
@@ -25,6 +25,7 @@
 MAX_LINE_BYTES = 4 * 1024 * 1024
 # A heartbeat is sent each second; without a line for this time the connection counts as broken
 SILENCE_TIMEOUT_US = 2_000_000
+MAX_DOUBLINGS = 3  # of the timeout, once for each silent connection, as the service may be that slow
 # The delay doubles from the minimum to the maximum
 MIN_RETRY_DELAY_US = 200_000
 MAX_RETRY_DELAY_US = 1_000_000
@@ -74,6 +75,7 @@
         self._timer: Timer | None = None
         self._random = Random(config.seed)
         self._failures = 0  # connections in a row without an event
+        self._silent_connections = 0  # in a row, at most ``MAX_DOUBLINGS``
 
     def start(self, wait_us: int = 0) -> None:
         """Report the configured list as a whole, then connect to the service, after ``wait_us``."""
@@ -111,6 +113,7 @@
             self._address = address
             # Failures and gap belong to the old address
             self._failures = 0
+            self._silent_connections = 0
             self._gap = None
             self._disconnect()
             self._connect()
@@ -147,7 +150,7 @@
         """Give the connection the full time until the next line."""
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self._timers.after(SILENCE_TIMEOUT_US, self._on_silence)
+        self._timer = self._timers.after(SILENCE_TIMEOUT_US << self._silent_connections, self._on_silence)
 
     def _on_silence(self) -> None:
         if (
@@ -156,6 +159,7 @@
             self._restart_silence_timer()
             return
         log("journal", "no line from the service in time; reconnecting")
+        self._silent_connections = min(self._silent_connections + 1, MAX_DOUBLINGS)
         self._disconnect()
         self._schedule_reconnect()
 
@@ -178,8 +182,9 @@
         except UnreadableEventError as problem:
             log("journal", "unreadable line ignored", reason=problem)
             return
-        self._restart_silence_timer()
         self._failures = 0
+        self._silent_connections = 0
+        self._restart_silence_timer()
         if event.pos <= self.pos:
             return  # received on an earlier connection, or a heartbeat without a gap
         if isinstance(event, Heartbeat):
--- a/tests/test_list_races.py
+++ b/tests/test_list_races.py
@@ -164,6 +164,37 @@
         EndpointListReader(("room-a",), ("std-8",)).read_line(line)
 
 
+@pytest.mark.parametrize("pieces", [1, 40])
+def test_a_service_that_sends_later_than_the_silence_timeout_is_heard_in_the_end(
+    quick: pytest.MonkeyPatch, pieces: int
+) -> None:
+    """Guards against a router that hangs up before each line arrives, and sends to an engine that drains."""
+    quick.setattr(endpoint_watch, "SILENCE_TIMEOUT_US", SHORT_US)
+    delay_s = 3 * SHORT_US / 1e6
+
+    async def test() -> None:
+        net = Net()
+
+        async def send_late(writer: Writer) -> None:
+            data = lines(event(2, net.host(0, "DRAINING")))
+            size = -(-len(data) // pieces)
+            for start in range(0, len(data), size):
+                await asyncio.sleep(delay_s / pieces)
+                writer.write(data[start : start + size])
+
+        def script(writer: Writer) -> None:
+            sending.append(asyncio.ensure_future(send_late(writer)))
+
+        sending: list[asyncio.Future[None]] = []
+        net.scripted.scripts.extend([script] * 20)
+        async with net:
+            await until(lambda: net.watch.pos == 2)
+            assert len(net.journal.asked) <= 4
+            assert await net.used_engines() == {1}
+
+    run(test, seconds=20.0)
+
+
 # Drains that are sent once
 
 
