--- a/slipbay/frontends/server.py
+++ b/slipbay/frontends/server.py
@@ -452,8 +452,7 @@
         while not self.closing and self.handle_message():
             handled += 1
             if handled % MESSAGES_PER_CLOCK_READ == 0 and self.server.turns.exact_now() >= until_us:
-                self.server.input_budget.update(self)
-                self._set_reading(has_backlog=True, awaits_room=False)
+                self.await_turn()
                 return True
         if self.closing:
             self.drop_input()
@@ -478,6 +477,11 @@
             self.awaits_room = awaits_room
             self.flow_changed()
 
+    def await_turn(self) -> None:
+        """Receives no more until the next turn."""
+        self.server.input_budget.update(self)
+        self._set_reading(has_backlog=True, awaits_room=False)
+
     def room_granted(self) -> None:
         """Reads on, as there is memory for the rest of the message."""
         self._set_reading(self.has_backlog, awaits_room=False)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -25,6 +25,9 @@
     "test_comeback": "processes 2",
     "test_store_losses": "processes 2",
     "test_together": "processes 2",
+    "test_client_crowds": "processes 3",
+    "test_departed_clients": "processes 3",
+    "test_bad_input": "processes 3",
 }
 
 
