Refuse requests in front of data that has long been unread, as it may hide the end of the client

Cause: while a connection waits for its turn or for memory, its client closes behind more data than the kernel holds, so neither a read nor the TCP state shows the end, and the requests in front of it are sent.

Change: where data has been unread for over 50 ms, further requests of the connection are refused, which is harmless, until all has been read.

--- a/slipbay/frontends/jsonrpc.py
+++ b/slipbay/frontends/jsonrpc.py
@@ -189,18 +189,25 @@
         if self.server.draining:  # earlier requests are still answered; the client can use another router
             self.write(jsonrpc.error(id, jsonrpc.REJECTED, "this router is about to end", 0))
             return
+        if self.may_hide_end:
+            self._reject(id, "too much unread input of one client; a request is rejected")
+            return
         request = self._make_request(call, id)
         match self._frontend.claim_txn(request.name, request.service_class, bool(request.idempotency_key)):
             case ClaimResult.USED:
                 raise jsonrpc.JsonRpcError(id, jsonrpc.INVALID_PARAMS, "txn has been used")
             case ClaimResult.FULL:
-                log("client", "no further txn can be held; a request is rejected")
-                retry_after_ms = self._frontend.retry_after_us() // 1000
-                self.write(jsonrpc.error(id, jsonrpc.REJECTED, "refused for now", retry_after_ms))
+                self._reject(id, "no further txn can be held; a request is rejected")
             case ClaimResult.GRANTED:
                 self._open[id] = request
                 self._frontend.submit(request)
 
+    def _reject(self, id: int, reason: str) -> None:
+        """Rejects a request that is not submitted."""
+        log("client", reason)
+        retry_after_ms = self._frontend.retry_after_us() // 1000
+        self.write(jsonrpc.error(id, jsonrpc.REJECTED, "refused for now", retry_after_ms))
+
     def _make_request(self, call: jsonrpc.Call, id: int) -> Request:
         """Creates a request from a client's call. Raises ``JsonRpcError``."""
         params = jsonrpc.read_query(call)
--- a/slipbay/frontends/server.py
+++ b/slipbay/frontends/server.py
@@ -27,6 +27,7 @@
 LINGER_US = 250_000  # for a client to close its side after the router has closed its own
 MAX_UNCOUNTED_LINGERING = 12  # lingering connections that use reserve descriptors and do not count as clients
 MESSAGES_PER_CLOCK_READ = 4
+OLD_UNREAD_US = 50_000  # data that is unread for so long may hide the end of the connection
 DEPARTURE_CHECK_US = 50_000
 CROWD_DIVISOR = 4  # newcomers on more than this part of the client connections are a crowd
 SLOW_MESSAGE_US = 250_000  # from the first byte of a message on its rest is not expected soon
@@ -299,6 +300,8 @@
     client_has_left = False  # it has closed its side; what it sent before is dropped
 
     is_reading_paused = False
+    may_hide_end = False  # the client may have closed behind data that is not read yet
+    _undrained_since_us: int | None = None  # since when the kernel may have unread data
     _max_unsent_bytes = MAX_UNSENT_BYTES
     awaits_room = False  # the rest of a message is not read until there is memory for it
 
@@ -410,6 +413,7 @@
         noticed before the requests in front of it are sent."""
         if nbytes == len(self.get_buffer(-1)) and not self.half_closed:
             self.buffer_input(bytes(self.get_buffer(-1)))
+            self._note_undrained()
             self._read_ahead()
             self.received(b"")
         else:
@@ -448,6 +452,7 @@
         """
         if self.client_has_left or self.has_peer_closed():
             self._client_left()
+        self.may_hide_end = self._has_old_unread_data()
         handled = 0
         while not self.closing and self.handle_message():
             handled += 1
@@ -461,6 +466,19 @@
             self.close_if_drained()
         return False
 
+    def _note_undrained(self) -> None:
+        if self._undrained_since_us is None:
+            self._undrained_since_us = self.server.turns.exact_now()
+
+    def _has_old_unread_data(self) -> bool:
+        """Whether data may be unread for so long that the client may have closed behind it meanwhile."""
+        if self._undrained_since_us is None:
+            return False
+        if not self.has_unread_data():
+            self._undrained_since_us = None
+            return False
+        return self.server.turns.exact_now() - self._undrained_since_us >= OLD_UNREAD_US
+
     def _note_rest(self, handled: int) -> None:
         """Account for the incomplete message that is left after ``handled`` complete ones."""
         if not self.unparsed:
@@ -543,6 +561,7 @@
             self.server.bound_memory()
         self.is_reading_paused = self.congested or self.has_backlog or self.awaits_room
         if self.is_reading_paused:
+            self._note_undrained()
             self.transport.pause_reading()
             self.server.watch_departures()
         else:
--- a/slipbay/frontends/turns.py
+++ b/slipbay/frontends/turns.py
@@ -68,15 +68,19 @@
     def _run_round(self) -> None:
         """Give turns to the connections that wait; runs in each iteration while there are any."""
         self._iteration_end_us = None
-        now_us = self.exact_now()
-        end_us = now_us + ROUND_US
-        for waiting in (self._short, self._long):
-            for _ in range(len(waiting)):
-                if now_us >= end_us:
-                    break
-                connection = waiting.popleft()
-                if connection.handle_messages(min(end_us, now_us + TURN_US)):
-                    self._enqueue(connection)
-                now_us = self.exact_now()
-        if self._short or self._long:
-            self._begin_iteration(now_us)
+        end_us = self.exact_now() + ROUND_US
+        try:
+            for waiting in (self._short, self._long):
+                self._give_turns(waiting, end_us)
+        finally:  # if one connection fails, the others still get their turns
+            if self._short or self._long:
+                self._begin_iteration(self.exact_now())
+
+    def _give_turns(self, waiting: deque[MessageHandler], end_us: int) -> None:
+        for _ in range(len(waiting)):
+            now_us = self.exact_now()
+            if now_us >= end_us:
+                break
+            connection = waiting.popleft()
+            if connection.handle_messages(min(end_us, now_us + TURN_US)):
+                self._enqueue(connection)
--- a/slipbay/stream.py
+++ b/slipbay/stream.py
@@ -14,8 +14,14 @@
 _RECEIVE_BUFFER = bytearray(RECEIVE_BYTES)
 _RECEIVE_VIEW = memoryview(_RECEIVE_BUFFER)
 CONNECT_STARTED = (0, errno.EINPROGRESS, errno.EINTR)  # results of ``connect_ex`` that are no failure
-# The first byte of the kernel's tcp_info: CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING
-PEER_CLOSED_STATES = frozenset((7, 8, 9, 11))
+# States in the kernel's tcp_info
+TCP_ESTABLISHED = 1
+TCP_CLOSE = 7
+TCP_CLOSE_WAIT = 8
+TCP_LAST_ACK = 9
+TCP_CLOSING = 11
+PEER_CLOSED_STATES = frozenset((TCP_CLOSE, TCP_CLOSE_WAIT, TCP_LAST_ACK, TCP_CLOSING))
+OPENED_STATES = frozenset((TCP_ESTABLISHED, TCP_CLOSE_WAIT))
 PEEK_FLAGS = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)  # computed once, as combining enum flags is slow
 
 
@@ -30,6 +36,7 @@
     sock: socket.socket | None = None  # socket of the transport, to check for unread data
     lost = False
     closed_locally = False  # closed by this process
+    knows_tcp_state = False  # the system tells the state of the connection
     receive_bytes = RECEIVE_BYTES  # most that is received at once
     congested = False  # the write buffer is above the transport's high-water mark
     half_closed = False  # the write side is closed; received data is dropped
@@ -44,6 +51,7 @@
         elif self.closed_locally:  # closed while its transport was created
             transport.abort()
         else:
+            self.knows_tcp_state = self._system_tells_tcp_state()
             self.opened()
 
     def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002 - the signature is asyncio's
@@ -105,15 +113,33 @@
         except OSError:  # no data has arrived, or the connection is broken
             return False
 
-    def has_peer_closed(self) -> bool:
-        """Whether the other side has closed or reset the connection, even if data before that is unread."""
+    def tcp_state(self) -> int | None:
+        """The state of the connection as the kernel's tcp_info has it; None if it is not known."""
+        if self.sock is None or self.lost:
+            return None
         try:
-            return (
-                self.sock is not None
-                and self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in PEER_CLOSED_STATES
-            )
-        except OSError:  # the state is not known here; the end is noticed when it is read
-            return False
+            info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        except OSError:
+            return None
+        return info[0] if info else None
+
+    def _system_tells_tcp_state(self) -> bool:
+        """Whether the state of the opening connection is that of an open one, or of one that was reset."""
+        state = self.tcp_state()
+        if state != TCP_CLOSE or self.sock is None:
+            return state in OPENED_STATES
+        try:
+            self.sock.getpeername()
+        except OSError:
+            return True
+        return False
+
+    def has_peer_closed(self) -> bool:
+        """Whether the other side has closed or reset the connection, even if data before that is unread.
+
+        If the system does not tell the state, the end is noticed when it is read.
+        """
+        return self.knows_tcp_state and self.tcp_state() in PEER_CLOSED_STATES
 
     def close(self) -> None:
         """Close after all written data has been sent."""
