--- a/slipbay/frontends/jsonrpc.py
+++ b/slipbay/frontends/jsonrpc.py
@@ -8,8 +8,9 @@
 from slipbay.config.model import Config
 from slipbay.core.dispatcher import Dispatcher
 from slipbay.core.model import Answer, Backend, Failed, Rejected, Request, Served
+from slipbay.frontends.client_connection import IDLE_TIMEOUT_US, ClientConnection
 from slipbay.frontends.request_ids import ClaimResult, RequestIds
-from slipbay.frontends.server import IDLE_TIMEOUT_US, ClientConnection, Server
+from slipbay.frontends.server import Server
 from slipbay.idempotency.digest import digest
 from slipbay.log import log
 from slipbay.policy.settings import Effect
--- a/slipbay/frontends/mysql.py
+++ b/slipbay/frontends/mysql.py
@@ -15,9 +15,10 @@
 from slipbay.config.model import Config, MysqlConfig
 from slipbay.core.dispatcher import Dispatcher
 from slipbay.core.model import QUERY_FAILED, Answer, Backend, Failed, Rejected, Request, Served
+from slipbay.frontends.client_connection import ClientConnection
 from slipbay.frontends.identity import Identity
 from slipbay.frontends.prepared_statement import PreparedStatement
-from slipbay.frontends.server import ClientConnection, Server
+from slipbay.frontends.server import Server
 from slipbay.idempotency.digest import digest
 from slipbay.log import log
 from slipbay.policy.settings import Effect
