Give connections with much input their turns while others with little come all the time

By reading of: connections with little input came first in each round, so a crowd of them that needs all of its 4 ms kept those with much input from any turn. Half of a round goes to little input first, then much input has its turns, then little input again.

--- a/slipbay/frontends/turns.py
+++ b/slipbay/frontends/turns.py
@@ -68,10 +68,12 @@
     def _run_round(self) -> None:
         """Give turns to the connections that wait; runs in each iteration while there are any."""
         self._iteration_end_us = None
-        end_us = self.exact_now() + ROUND_US
+        started_us = self.exact_now()
+        end_us = started_us + ROUND_US
         try:
-            for waiting in (self._short, self._long):
-                self._give_turns(waiting, end_us)
+            self._give_turns(self._short, started_us + ROUND_US // 2)
+            self._give_turns(self._long, end_us)
+            self._give_turns(self._short, end_us)
         finally:  # if one connection fails, the others still get their turns
             if self._short or self._long:
                 self._begin_iteration(self.exact_now())
