--- a/review/rig2.py
+++ b/review/rig2.py
@@ -28,6 +28,7 @@
 UNASKED_S = 2.0  # a query ends when nobody asked for it for so long
 NOTE_INTERVAL_S = 1.0  # between notes of progress
 PAGE_BYTES = 6_000
+USUAL_ROWS_BYTES = 60  # of a result for which the statement names no size
 STEP_S = 0.01  # of the simulated work
 WORK_PATTERN = re.compile(rb"work (\d+) ms")
 ROWS_PATTERN = re.compile(rb"rows (\d+) bytes")
@@ -150,7 +151,9 @@
                 method, path, _ = lines[0].split(" ")
                 headers = dict(line.lower().split(": ", 1) for line in lines[1:] if line)
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
-                writer.write(await self._answer(method, path, headers, body))
+                answer = await self._answer(method, path, headers, body)
+                writer.write(answer)
+                self.answered(writer, answer)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
@@ -158,6 +161,9 @@
             self.writers.discard(writer)
             writer.close()
 
+    def answered(self, writer: asyncio.StreamWriter, answer: bytes) -> None:
+        """An answer was written; for engines that then do something wrong."""
+
     async def _answer(self, method: str, path: str, headers: dict[str, str], body: bytes) -> bytes:
         if path in ("/ping", "/stats"):
             return http_answer(200)
@@ -180,7 +186,7 @@
         work = WORK_PATTERN.search(body)
         size = ROWS_PATTERN.search(body)
         name = headers["x-hop-id"]
-        rows = make_rows(name, int(size[1]) if size else 60)
+        rows = make_rows(name, int(size[1]) if size else USUAL_ROWS_BYTES)
         query = Query(name, int(work[1]) / 1000 if work else 0.05, rows, now_s, now_s)
         self.queries[name] = query
         self._report({"at": time.time(), "event": "started", "query": name, "class": headers["x-sort"]})
@@ -473,6 +479,7 @@
             "attemptsCap": 4,
             "connIdleUs": 30_000_000,
             "connectTimeoutUs": 250_000,
+            "cpuUsPerS": 400_000,
             "maxOpen": 20_000,
             "maxRetryAfterUs": 500_000,
             "mayCancel": True,
@@ -534,9 +541,12 @@
 class Router:
     """A router's process, started by the command of the deploy file from the root of the repository."""
 
-    def __init__(self, folder: Path, record: Record, journal: Journal, name: str = "n0") -> None:
+    def __init__(
+        self, folder: Path, record: Record, journal: Journal, name: str = "n0", cores: float = 1.0
+    ) -> None:
         self.folder = folder
         self.name = name
+        self.cores = cores
         self.port = free_port()
         self._record = record
         self._journal = journal
@@ -551,7 +561,7 @@
             "name": self.name,
             "listen": f"{HOST}:{self.port}",
             "seed": os.urandom(8).hex(),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": self.cores, "memory_mb": 192, "sockets": 1024},
             "journal": f"{HOST}:{self._journal.port}",
             "known": self._journal.known,
             "settings": settings(),
@@ -604,9 +614,13 @@
             self._record.add("router's log:", text=text)
 
     def signal(self, number: signal.Signals) -> None:
+        """Send it a signal, and record that."""
+        self._record.add("router gets a signal", signal=number.name)
+        self.signal_quietly(number)
+
+    def signal_quietly(self, number: signal.Signals) -> None:
         """Send it a signal."""
         if self.process is not None and self.process.returncode is None:
-            self._record.add("router gets a signal", signal=number.name)
             self.process.send_signal(number)
 
     @property
@@ -681,7 +695,7 @@
 
 
 def query_params(
-    txn: str, limit_ms: int, work_ms: int, cpu_ms: float, rows_bytes: int = 60, ram_mb: int = 96
+    txn: str, limit_ms: int, work_ms: int, cpu_ms: float, rows_bytes: int = USUAL_ROWS_BYTES, ram_mb: int = 96
 ) -> dict[str, Any]:
     """The parameters of a query whose statement tells the engine how long it runs and what it returns."""
     statement = f"SELECT a, b, c FROM sales_17.orders /* work {work_ms} ms, rows {rows_bytes} bytes */"
