Review cases 7 to 9: take their new numbers

The cut room, the slow reader and the expired SVID follow the foreign rows. Nothing else changes in them but one reference.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,112 +1,136 @@
-"""A client on a poor line reads long answers slowly, but within its limit; it must get all of them whole."""
+"""The link to one of two rooms is cut while reports are sent; no report may have two attempts out at once."""
 
 from __future__ import annotations
 
 import asyncio
-import json
-import socket
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from rig2 import (
-    HOST,
     TROUBLE,
     CaseError,
+    Client,
     Engine,
     Journal,
+    Link,
     Record,
     Router,
     host_entry,
-    message,
     new_txn,
     outcome_of,
     query_params,
     run_case,
+    spans,
 )
 
-ENGINES = 6
-REPORTS = 30  # on one connection, which may have 32 open
-ROWS_BYTES = 47_000  # of each answer; a result holds at most 48,000 bytes
-LIMIT_MS = 20_000  # that the client waits for the whole answer: the give-up time of its class
-# The client's line: all answers together, 1.9 MB, take 15 s
-BYTES_PER_S = 125_000
-PIECE_BYTES = 2_400
-# Of the client's socket: the segments of an ordinary line, and a small window
-SEGMENT_BYTES = 1_400
-RECEIVE_BUFFER_BYTES = 8_192
-FAST_PIECE_BYTES = 65_536
+NEAR = 3  # engines in the router's room
+FAR = 3  # engines in the other room, behind links that can be cut
+CUT_S = 6.7  # the shortest cut of the pages: 6.7 to 18 s
+LIMIT_MS = 20_000
+# Reports before the cut, so that there are connections to all engines
+USUAL_REPORTS = 60
+USUAL_WORK_MS = 1000
+USUAL_INTERVAL_S = 0.05
+# Heavy reports, from half a second after the beginning of the cut on
+FIRST_S = 0.55
+REPORTS = 18
+WORK_MS = 7000
+INTERVAL_S = 0.02
+OVERLAP_S = 0.05  # the pages widen time limits by 50 ms
 
 
 async def case(folder: Path, record: Record) -> bool:
-    engines = [
-        Engine(lambda event: record.add(event["event"], report=event["query"])) for _ in range(ENGINES)
-    ]
+    events: list[list[dict[str, Any]]] = [[] for _ in range(NEAR + FAR)]
+    engines = [Engine(events[number].append) for number in range(NEAR + FAR)]
     for engine in engines:
         await engine.start()
-    journal = Journal([host_entry(f"s-{number}", engine.port) for number, engine in enumerate(engines)])
+    links = [Link(engine.port, record) for engine in engines[NEAR:]]
+    near = [host_entry(f"s-{number}", engine.port) for number, engine in enumerate(engines[:NEAR])]
+    far = [host_entry(f"s-{NEAR + number}", link.port, "room-b") for number, link in enumerate(links)]
+    journal = Journal(near + far)
     await journal.start()
     router = Router(folder, record, journal)
     try:
         await router.start()
-        return await read_answers(router.port, record)
+        client = await Client.connect(router.port)
+        await send_usual_reports(client, events, record)
+        names, answers = await send_heavy_reports(client, links, record)
+        await asyncio.sleep(3)  # in which engines drop what nobody asks for
+        return judge(names, answers, events, record)
     finally:
         await router.end()
+        for link in links:
+            link.close()
 
 
-async def connect(port: int) -> socket.socket:
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
-    sock.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(sock, (HOST, port))
-    return sock
+async def send_usual_reports(client: Client, events: list[list[dict[str, Any]]], record: Record) -> None:
+    calls = []
+    for _ in range(USUAL_REPORTS):
+        calls.append(
+            client.send("report", query_params(new_txn(), LIMIT_MS, USUAL_WORK_MS, 2 * USUAL_WORK_MS))
+        )
+        await asyncio.sleep(USUAL_INTERVAL_S)
+    answers = await asyncio.gather(*calls)
+    served = sum(outcome_of(answer) == "served" for answer in answers)
+    ran = [sum(event["event"] == "started" for event in items) for items in events]
+    record.add("usual reports", sent=USUAL_REPORTS, served=served, by_engine=ran)
+    if not all(ran):
+        raise CaseError("some engine got no report before the cut")
+
+
+async def send_heavy_reports(
+    client: Client, links: list[Link], record: Record
+) -> tuple[list[str], list[dict[str, Any] | BaseException]]:
+    began_s = time.monotonic()
+    if TROUBLE:
+        for link in links:
+            link.cut()
+        record.add("room-b is cut off", seconds=CUT_S)
+    await asyncio.sleep(FIRST_S)
+    names = [new_txn() for _ in range(REPORTS)]
+    calls = []
+    for name in names:
+        record.add("sent", report=name)
+        calls.append(client.send("report", query_params(name, LIMIT_MS, WORK_MS, 2 * WORK_MS)))
+        await asyncio.sleep(INTERVAL_S)
+    if TROUBLE:
+        await asyncio.sleep(began_s + CUT_S - time.monotonic())
+        for link in links:
+            link.heal()
+        record.add("room-b is back")
+    return names, await asyncio.gather(*calls, return_exceptions=True)
 
 
-async def read_answers(port: int, record: Record) -> bool:
-    """Whether each request got its whole answer before its limit."""
-    loop = asyncio.get_running_loop()
-    sock = await connect(port)
-    sent_s: dict[int, float] = {}
-    names: dict[int, str] = {}
-    for id in range(1, REPORTS + 1):
-        names[id] = new_txn()
-        await loop.sock_sendall(
-            sock, message(id, "report", query_params(names[id], LIMIT_MS, 100, 200, ROWS_BYTES))
+def judge(
+    names: list[str],
+    answers: list[dict[str, Any] | BaseException],
+    events: list[list[dict[str, Any]]],
+    record: Record,
+) -> bool:
+    """Whether no report was out twice at once; writes what was answered and run."""
+    held = True
+    until_s = time.time()
+    for name, answer in zip(names, answers, strict=True):
+        outcome = repr(answer) if isinstance(answer, BaseException) else outcome_of(answer)
+        record.add("answered", report=name, outcome=outcome)
+        runs = sorted(
+            (started_s, ended_s, f"s-{number}", how)
+            for number, items in enumerate(events)
+            for started_s, ended_s, how in spans(items, name, until_s)
         )
-        sent_s[id] = time.monotonic()
-        record.add("sent", report=names[id])
-        await asyncio.sleep(0.05)
-    data = bytearray()
-    while names and time.monotonic() < max(sent_s.values()) + LIMIT_MS / 1000:
-        try:
-            piece = await loop.sock_recv(sock, PIECE_BYTES if TROUBLE else FAST_PIECE_BYTES)
-        except OSError as problem:
-            record.add("the connection broke", problem=problem, of_this_answer=len(data))
-            break
-        if not piece:
-            record.add("the connection ended", of_this_answer=len(data))
-            break
-        data += piece
-        *lines, rest = bytes(data).split(b"\n")
-        data = bytearray(rest)
-        for line in lines:
-            answer = json.loads(line)
-            id = answer["id"]
-            waited_s = time.monotonic() - sent_s[id]
-            outcome = outcome_of(answer)
-            record.add("answered", report=names.pop(id), outcome=outcome, after_s=f"{waited_s:.2f}")
-            if not TROUBLE and outcome != "served":
-                raise CaseError("a report was not served")
-        if TROUBLE:
-            await asyncio.sleep(len(piece) / BYTES_PER_S)
-    sock.close()
-    for id, name in names.items():
-        record.add("no whole answer", report=name, after_s=f"{time.monotonic() - sent_s[id]:.2f}")
-    record.add("whole answers", number=REPORTS - len(names), of=REPORTS)
-    return not names
+        for started_s, ended_s, engine, how in runs:
+            seconds = f"{ended_s - started_s:.3f}"
+            record.add_at(started_s, "ran", report=name, engine=engine, seconds=seconds, end=how)
+        for before, after in zip(runs, runs[1:], strict=False):
+            overlap_s = min(before[1], after[1]) - after[0]
+            if overlap_s > OVERLAP_S:
+                record.add("two attempts at once", report=name, seconds=f"{overlap_s:.3f}")
+                held = False
+    return held
 
 
 run_case(__file__, case)
