--- a/review/rig2.py
+++ b/review/rig2.py
@@ -33,6 +33,7 @@
 WORK_PATTERN = re.compile(rb"work (\d+) ms")
 ROWS_PATTERN = re.compile(rb"rows (\d+) bytes")
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+MAX_CASE_S = 105  # a script may take 120 s
 
 
 class CaseError(Exception):
@@ -40,10 +41,10 @@
 
 
 class Record:
-    """The record of what was sent, answered and run; the file ``record.txt`` beside the case."""
+    """The record of what was sent, answered and run: the file ``record.txt`` of a case."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = (folder / "record.txt").open("w", encoding="utf-8")
+    def __init__(self, file: Path) -> None:
+        self._file = file.open("w", encoding="utf-8")
         self._started_s = time.time()
 
     def add(self, what: str, **fields: object) -> None:
@@ -743,17 +744,26 @@
 Case = Callable[[Path, Record], Awaitable[bool]]
 
 
-def run_case(file: str, case: Case) -> None:
+async def _run_until_ended(case: Case, folder: Path, record: Record) -> bool:
+    """Run a case; SIGTERM and SIGINT cancel it, so that it ends what it started."""
+    task = asyncio.ensure_future(case(folder, record))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(task, MAX_CASE_S)
+
+
+def run_case(record_file: Path, case: Case) -> None:
     """Run a case and exit: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 
-    ``case`` gets a temporary folder and the record, and returns whether the rule held.
+    ``case`` gets a temporary folder and the record, which is written to ``record_file``, and returns whether
+    the rule held.
     """
-    record = Record(Path(file).resolve().parent)
+    record = Record(record_file)
     record.add("case begins", trouble=TROUBLE)
     try:
         with tempfile.TemporaryDirectory() as folder:
-            held = asyncio.run(asyncio.wait_for(case(Path(folder), record), 110))
-    except Exception as problem:  # a fault of the case is no broken rule
+            held = asyncio.run(_run_until_ended(case, Path(folder), record))
+    except (Exception, asyncio.CancelledError) as problem:  # a fault of the case is no broken rule
         record.add("the case could not run", problem=f"{type(problem).__name__}: {problem}")
         print(f"could not run: {type(problem).__name__}: {problem}")
         sys.exit(COULD_NOT_RUN)
