--- a/review/7/case.py
+++ b/review/7/case.py
@@ -133,4 +133,5 @@
     return held
 
 
-run_case(__file__, case)
+RECORD_FILE = Path(__file__).resolve().parent / "record.txt"  # what was sent, answered and run
+run_case(RECORD_FILE, case)
