Take back calls to engines that have no answer when the router lets go of them

Cause: a close, asyncio's abort and the end of the process leave what was written with the system, which goes on sending it. The exchange took its own close, and 2.35 s since the write, for the end of the query.

Change: connections to engines reset on close (SO_LINGER 0) from before their first call, so each end with an open call, SIGKILL included, drops what has not arrived; without an open call they end in order. An unanswered call is taken back after 350 ms, 50 ms after a stop, and the 2.35 s count from there. The same for MySQL statements.

Why this works: a reset empties the sender's queue; only what had arrived can run, and the engine drops that 2.35 s later.

--- a/slipbay/backends/http_connection.py
+++ b/slipbay/backends/http_connection.py
@@ -25,6 +25,7 @@
         self._interrupted: Callable[[], None] | None = None
         self._fence: Callable[[], bytes] | None = None
         self._fence_timer: Timer | None = None
+        self.call_count = 0  # identifies the current call
         self._answer_began_us = 0  # when the first byte of the current answer arrived, us
 
     def opened(self) -> None:
@@ -35,6 +36,11 @@
         else:
             self.on_usable()
 
+    @property
+    def has_open_call(self) -> bool:
+        """Whether a call was written that the engine has not answered."""
+        return self._responded is not None
+
     def call(
         self,
         request: bytes,
@@ -55,6 +61,7 @@
                 of an earlier one, and that response is passed on only once it is settled. Without a fence
                 it is passed on with ``is_doubtful``, and the connection can't be used any more.
         """
+        self.call_count += 1
         self._responded = responded
         self._interrupted = interrupted
         self.deadline_us = deadline_us
--- a/slipbay/backends/http_exchange.py
+++ b/slipbay/backends/http_exchange.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 from slipbay.backends.http_connection import HttpConnection
@@ -30,6 +31,10 @@
 MIN_EARLY_POLL_US = 60_000  # minimum wait for the answer to the POST before a poll on another connection
 # The wait is the client's time limit divided by this, if that is longer than MIN_EARLY_POLL_US
 EARLY_POLL_DIVISOR = 12
+# Time without an answer after which a call is taken back, as it may still be in transit
+OVERDUE_US = LONG_POLL_US + TRANSIT_US
+# Time after a stop for the answer to the POST; within 100 ms nothing may arrive any more
+STOP_GRACE_US = 50_000
 RETRY_US = 250_000  # interval before a poll for an overdue answer or a failed DELETE is repeated
 
 MAX_IMMEDIATE_RETRIES = 3  # polls sent immediately after a malformed answer; later ones wait for the timer
@@ -79,6 +84,21 @@
     return Outcome.ERROR
 
 
+@dataclass(frozen=True, slots=True)
+class SentCall:
+    """A POST or poll that was written on a connection, which may carry another call by now."""
+
+    connection: HttpConnection
+    number: int
+    """The number of the call on its connection."""
+    written_us: int
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the call has no answer, so that it may not have arrived yet."""
+        return self.connection.call_count == self.number and self.connection.has_open_call
+
+
 class HttpExchange:
     """One attempt on one engine."""
 
@@ -93,9 +113,12 @@
         self._is_post_written = False  # the POST may have arrived complete
         self._answered = False  # the engine has answered a call, so it has received the POST
         self._last_call_us = self._posted_us = 0  # times when the last POST or poll and the POST were written
-        self._previous_call_us = 0  # time when the POST or poll before the last one was written
+        # Times until which the last call and those before it may have arrived at the engine
+        self._last_arrival_us = self._previous_arrival_us = 0
+        self._sent_calls: list[SentCall] = []  # all that may be open
+        self._may_arrive_later = False  # a call could not be taken back
         self._is_polled_beside_post = False  # a poll was sent while the POST may be in transit
-        self._post_connection: HttpConnection | None = None  # connection of the POST
+        self._post_call: SentCall | None = None
         self._call_connection: HttpConnection | None = None  # connection of the current POST or poll
         self._pending: PendingAcquire[HttpConnection] | None = None  # acquires the next connection for a poll
         self._pending_delete: PendingAcquire[HttpConnection] | None = None
@@ -117,7 +140,7 @@
         self._is_ended = False
         if resumed:
             self._is_post_written = self._answered = True
-            self._last_call_us = backend.now()
+            self._last_call_us = self._last_arrival_us = backend.now()
             self._check_timer = backend.timers.at(
                 self._last_call_us + self._answer_timeout_us, self._check_progress
             )
@@ -155,25 +178,25 @@
         self._pending = None
         self._is_post_written = True
         self._posted_us = now
-        self._post_connection = connection
         self._call(connection, http1.request("POST", "/obj", self._pool_host(), headers, request.payload))
         self._posted_us = self._last_call_us
+        self._post_call = self._sent_calls[-1]
 
     def _poll(self, connection: HttpConnection) -> None:
         """Poll for the end of the query, or get the next page of its result."""
         self._pending = None
         if self._call_connection is not None:  # its call has no answer yet, and a further connection is open
             self._is_polled_beside_post = not self._answered and self._may_post_be_open
-            self._call_connection.abandon(self._last_call_us + LONG_POLL_US + TRANSIT_US)
+            self._call_connection.abandon(self._last_call_us + OVERDUE_US)
             if not self._is_polled_beside_post:
-                self._call_connection.abort()
+                self._take_back(self._sent_calls[-1])
         number = len(self._pages) if self._page_count else 0
         self._call(connection, http1.request("GET", f"{self._path}/{number}", self._pool_host()))
 
     def _call(self, connection: HttpConnection, request: bytes) -> None:
         self._call_connection = connection
         self._is_closed_by_engine = False
-        self._previous_call_us = self._last_call_us
+        self._previous_arrival_us = self._last_arrival_us
         self._last_call_us = self._backend.now()
         connection.call(
             request,
@@ -181,7 +204,10 @@
             self._interrupted,
             fence=lambda: self._priority_call(self._attempt.request.priority),
         )
-        self._last_call_us = self._backend.exact_now()  # the process may have been stopped during this turn
+        # The process may have been stopped during this turn
+        self._last_call_us = self._last_arrival_us = self._backend.exact_now()
+        self._sent_calls = [call for call in self._sent_calls if call.is_open]
+        self._sent_calls.append(SentCall(connection, connection.call_count, self._last_call_us))
         if self._check_timer is None or self._page_count:  # pages arrive long before the timer of a poll
             if self._check_timer is not None:
                 self._check_timer.cancel()
@@ -192,7 +218,7 @@
     @property
     def _may_post_be_open(self) -> bool:
         """Whether the POST may still be in transit, and its answer may still arrive."""
-        return self._backend.now() - self._posted_us < LONG_POLL_US + TRANSIT_US
+        return self._backend.now() - self._posted_us < OVERDUE_US
 
     @property
     def _answer_timeout_us(self) -> int:
@@ -226,10 +252,13 @@
     def _check_progress(self) -> None:
         """Poll again or end the attempt if the answer is overdue: malformed, or lost with a host or link."""
         self._check_timer = None
-        since_call_us = self._backend.now() - self._last_call_us
-        if since_call_us >= QUERY_DROPPED_US:
+        now_us = self._backend.now()
+        if not self._page_count:
+            self._take_back_calls(written_by_us=now_us - OVERDUE_US)
+        if self._must_have_ended(now_us):
             self._finish(self._stop_outcome or Outcome.RESET)
             return
+        since_call_us = now_us - self._last_call_us
         timeout_us = self._answer_timeout_us
         if (
             since_call_us >= timeout_us
@@ -238,17 +267,45 @@
             and not self._is_unknown_to_engine
         ):
             self._poll_on_other_connection()
-        next_check_us = (
-            self._last_call_us + timeout_us
-            if since_call_us < timeout_us
-            else min(self._backend.now() + RETRY_US, self._last_call_us + QUERY_DROPPED_US)
-        )
+        next_check_us = now_us + RETRY_US
+        if since_call_us < timeout_us:
+            next_check_us = self._last_call_us + timeout_us
+        elif not self._may_arrive_later:
+            next_check_us = min(next_check_us, self._last_arrival_us + QUERY_DROPPED_US)
         if self._awaits_post_answer:
-            next_check_us = min(next_check_us, self._posted_us + LONG_POLL_US + TRANSIT_US)
+            next_check_us = min(next_check_us, self._posted_us + OVERDUE_US)
         # A poll on an idle connection has set the timer already
         if self._check_timer is None and not self._is_ended:
             self._check_timer = self._backend.timers.at(next_check_us, self._check_progress)
 
+    def _must_have_ended(self, now_us: int) -> bool:
+        """Whether no query can run any more, as no call can have arrived for long enough. If a call may still
+        arrive, the attempt ends only when no other can follow."""
+        if self._may_arrive_later:
+            return now_us >= self._attempt.request.deadline_us
+        return now_us - self._last_arrival_us >= QUERY_DROPPED_US
+
+    # Taking calls back
+
+    def _take_back_calls(self, written_by_us: int) -> None:
+        """Take back the open calls that were written by this time, unless an answer is about to be read."""
+        for call in self._sent_calls:
+            if call.is_open and call.written_us <= written_by_us and not call.connection.has_unread_data():
+                self._take_back(call)
+
+    def _take_back(self, call: SentCall) -> None:
+        """Close the connection of an open call so that the call can't arrive any more, if it has not yet."""
+        now_us = self._backend.now()
+        if call.connection is self._call_connection:
+            self._call_connection = None
+        if not self._answered and not self._pool.was_heard_since(call.written_us):
+            self._is_process_uncertain = True  # its connection might have broken
+        call.connection.abandon(now_us)
+        if call.connection.take_back():
+            self._last_arrival_us = max(self._last_arrival_us, now_us)
+        else:
+            self._may_arrive_later = True
+
     # Answers
 
     def _responded(self, connection: HttpConnection, response: http1.Response) -> None:
@@ -266,11 +323,11 @@
         if (
             response.status == http1.INTERNAL_SERVER_ERROR
             and not self._answered
-            and connection is not self._post_connection
+            and (self._post_call is None or connection is not self._post_call.connection)
         ):
             if self._pool.was_unreachable:
-                # The engine may still read the POST, until QUERY_DROPPED_US after the previous call
-                self._last_call_us = self._previous_call_us
+                # The engine may still read the POST, until QUERY_DROPPED_US after the previous call arrived
+                self._last_arrival_us = self._previous_arrival_us
                 self._is_unknown_to_engine = True
                 connection.finish_call(response)
                 return
@@ -278,7 +335,9 @@
                 # The poll may have overtaken the POST; the timer polls again
                 connection.finish_call(response)
                 return
+            self._take_back_calls(written_by_us=self._backend.now())
         self._answered = True
+        self._last_arrival_us = self._backend.now()  # the call may have arrived late
         self._is_process_uncertain = False
         if self._pending is not None:  # a further poll is not needed any more
             self._pending.cancel()
@@ -424,16 +483,25 @@
         if not self._is_post_written or self._page_count:
             self._finish(outcome)  # no query runs: it was not sent, or its end has been received
         elif not self._answered and self._call_connection is not None:
-            if self._call_connection.unsent:
-                self._call_connection.abandon(self._last_call_us)
-                self._call_connection.abort()  # the POST is not sent completely, and never will be
-                self._call_connection = None
+            if self._post_call is not None and self._post_call.is_open and self._post_call.connection.unsent:
+                self._take_back(self._post_call)  # it is not sent completely, and never will be
                 self._finish(outcome)
             else:  # the first answer arrives soon; an earlier DELETE might overtake the POST
-                self._backend.timers.at(self._posted_us + TRANSIT_US, self._delete)
+                self._backend.timers.at(
+                    min(self._posted_us + TRANSIT_US, self._backend.now() + STOP_GRACE_US),
+                    self._delete_unanswered,
+                )
         else:
             self._delete()
 
+    def _delete_unanswered(self) -> None:
+        """Take back the POST if it may still arrive, and delete the query in case it has arrived."""
+        if self._is_ended:
+            return
+        if not self._answered:
+            self._take_back_calls(written_by_us=self._backend.now())
+        self._backend.timers.at(max(self._backend.now(), self._posted_us + TRANSIT_US), self._delete)
+
     def _delete(self) -> None:
         if self._deleting or self._is_ended or self._is_unknown_to_engine:
             return
@@ -518,9 +586,15 @@
                 pending.cancel()
         if self._check_timer is not None:
             self._check_timer.cancel()
-        if self._call_connection is not None:
-            self._call_connection.abandon(self._backend.now() + CALL_TIMEOUT_US)
-            if self._backend.now() - self._last_call_us >= LONG_POLL_US + TRANSIT_US:
-                self._call_connection.abort()  # data that is still in transit must not arrive later
+        self._let_go_of_calls()
         pages, self._pages = self._pages, []
         self._attempt.finish(outcome, b"".join(pages) if outcome is Outcome.OK else None)
+
+    def _let_go_of_calls(self) -> None:
+        """Keep the connections of polls whose answers are due, as these polls do no harm any more; take back
+        a POST that may not have arrived, and calls that are overdue."""
+        now_us = self._backend.now()
+        if self._call_connection is not None:
+            self._call_connection.abandon(now_us + CALL_TIMEOUT_US)
+        self._take_back_calls(written_by_us=now_us - OVERDUE_US if self._answered else now_us)
+        self._sent_calls.clear()
--- a/slipbay/backends/mysql_connection.py
+++ b/slipbay/backends/mysql_connection.py
@@ -122,6 +122,11 @@
 
     # Commands
 
+    @property
+    def has_open_call(self) -> bool:
+        """Whether a command was written that the engine has not answered."""
+        return self._reader is not None
+
     def call(
         self,
         payloads: list[bytes],
--- a/slipbay/backends/mysql_exchange.py
+++ b/slipbay/backends/mysql_exchange.py
@@ -14,6 +14,7 @@
 
 MAX_STATEMENTS = 64  # prepared on one connection
 PROOF_TIMEOUT_US = 5_000_000  # after the deadline; then no other attempt can follow, proven or not
+STOP_GRACE_US = 50_000  # after a stop, for an answer that is about to arrive
 ENGINE_ERRORS = (mysql.ER_SERVER_SHUTDOWN, mysql.ER_QUERY_INTERRUPTED)  # not caused by the statement
 
 
@@ -159,6 +160,13 @@
             self._finish(outcome)
         else:
             self._end_thread()
+            self._backend.timers.after(STOP_GRACE_US, self._take_back_statement)
+
+    def _take_back_statement(self) -> None:
+        """Close the connection, so that the statement can't arrive any more, if it has not yet."""
+        if not self._is_ended and self._connection is not None:
+            self._connection.abandon()
+            self._connection = None
 
     def _end_thread(self) -> None:
         if not self._is_ended and self._thread_end is None:
--- a/slipbay/backends/pool.py
+++ b/slipbay/backends/pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import errno
 from collections import deque
 from collections.abc import Callable
@@ -56,7 +57,12 @@
 
 
 class PooledStream(Stream):
-    """A connection in a pool. It calls ``on_usable`` when it is open and its handshake, if any, is done."""
+    """A connection in a pool. It calls ``on_usable`` when it is open and its handshake, if any, is done.
+
+    The system may still be sending a call when the connection is closed, and the engine would run it later.
+    Therefore every end of a connection with an open call, the end of this process included, resets the
+    connection, which drops what has not arrived.
+    """
 
     def __init__(self, pool: Pool[PooledStream]) -> None:
         self.pool = pool
@@ -66,6 +72,48 @@
         self.on_broken: Callable[[], None] = lambda: None
         self.incarnation = 0  # of the engine's process, as its pool counts them
         self.failure = ConnectFailure.BROKEN  # reported if the connection ends before it can be used
+        self._resets_on_close = False
+
+    @property
+    def has_open_call(self) -> bool:
+        """Whether a call was written that the engine has not answered."""
+        return False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by asyncio when the connection is established, before any call."""
+        self._resets_on_close = self.set_reset_on_close(True)
+        super().connection_made(transport)
+
+    def eof_received(self) -> None:
+        """Called by asyncio when the engine has closed its side; asyncio closes the connection next."""
+        self._prepare_close()
+
+    def close(self) -> None:
+        """Close the connection; an open call is taken back."""
+        self._prepare_close()
+        super().close()
+
+    def abort(self) -> None:
+        """Close the connection immediately; an open call is taken back."""
+        self._prepare_close()
+        super().abort()
+
+    def take_back(self) -> bool:
+        """Close the connection and drop the part of the open call that the engine has not received.
+
+        Returns whether nothing can arrive any more, which is unknown if the system refuses the reset.
+        """
+        self.abort()
+        return self._resets_on_close
+
+    def _prepare_close(self) -> None:
+        """Choose a reset if a call is open, else an orderly end."""
+        if self.closed_locally or self.lost:
+            return
+        if not self.has_open_call:
+            self.set_reset_on_close(False)
+        elif not self._resets_on_close:
+            self._resets_on_close = self.set_reset_on_close(True)
 
     def release(self) -> None:
         """Return the connection to the pool after a call."""
@@ -357,6 +405,10 @@
         self._last_answer_us = self.now()
         self.record_activity()
 
+    def was_heard_since(self, time_us: int) -> bool:
+        """Whether the engine has sent data since this time."""
+        return self._last_answer_us >= time_us
+
     def record_activity(self) -> None:
         """Record activity of the engine's host; the end of a connection counts too."""
         if self.now() - self._last_activity_us > UNREACHABLE_AFTER_US:
--- a/slipbay/stream.py
+++ b/slipbay/stream.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import socket
+import struct
 from collections.abc import Callable
 
 from slipbay.address import Address
@@ -22,6 +23,8 @@
 TCP_CLOSING = 11
 PEER_CLOSED_STATES = frozenset((TCP_CLOSE, TCP_CLOSE_WAIT, TCP_LAST_ACK, TCP_CLOSING))
 OPENED_STATES = frozenset((TCP_ESTABLISHED, TCP_CLOSE_WAIT))
+LINGER_OFF = struct.pack("ii", 0, 0)  # the system sends what is written, after the close too
+LINGER_RESET = struct.pack("ii", 1, 0)  # a close drops what the peer has not acknowledged, and resets
 PEEK_FLAGS = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)  # computed once, as combining enum flags is slow
 
 
@@ -141,6 +144,19 @@
         """
         return self.knows_tcp_state and self.tcp_state() in PEER_CLOSED_STATES
 
+    def set_reset_on_close(self, is_enabled: bool) -> bool:
+        """Choose what happens to written data that the peer has not acknowledged when the socket is closed,
+        by this program or by the end of its process: it is dropped and the connection is reset, or the system
+        goes on sending it. Returns whether the system has accepted the choice."""
+        if self.sock is None:
+            return False
+        linger = LINGER_RESET if is_enabled else LINGER_OFF
+        try:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        except OSError:
+            return False
+        return True
+
     def close(self) -> None:
         """Close after all written data has been sent."""
         self.closed_locally = True
@@ -165,7 +181,8 @@
             self.transport.resume_reading()
 
     def abort(self) -> None:
-        """Close immediately; unsent data is lost."""
+        """Close immediately. Data that the system has taken is still sent, unless ``set_reset_on_close`` is
+        enabled."""
         self.closed_locally = True
         if self.transport is not None:
             self.transport.abort()
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -5,12 +5,13 @@
 import asyncio
 import errno
 import heapq
+import socket
 from collections import deque
 from collections.abc import Callable
 from typing import Any
 
 from slipbay.core.timers import Timers
-from slipbay.stream import Stream
+from slipbay.stream import LINGER_RESET, Stream
 
 
 class Handle:
@@ -78,6 +79,7 @@
         self.loop = loop
         self.stream = stream
         self._take = on_write
+        self.on_reset: Callable[[], None] = lambda: None  # a close drops what the other side has not received
         self.closing = False
         self.reads = True
 
@@ -109,6 +111,8 @@
     def close(self) -> None:
         if not self.closing:
             self.closing = True
+            if getattr(self.stream.sock, "resets_on_close", False):
+                self.on_reset()
             self.loop.call_soon(self.stream.connection_lost, None)
 
     abort = close
@@ -117,12 +121,18 @@
 class QuietSocket:
     """A socket without unread data."""
 
+    resets_on_close = False
+
     def recv(self, size: int, flags: int) -> bytes:
         raise BlockingIOError
 
     def getsockopt(self, level: int, option: int, size: int) -> bytes:
         return bytes([1])  # established
 
+    def setsockopt(self, level: int, option: int, value: bytes) -> None:
+        if option == socket.SO_LINGER:
+            self.resets_on_close = value == LINGER_RESET
+
     def shutdown(self, how: int) -> None: ...
 
 
