Let no DELETE overtake a POST that a poll has overtaken

Callers saw: a query could begin after its end was reported, on one machine only in a rare order of packets.

Cause: a poll beside the POST that was answered 'unknown' left no current call, and a stop then took the POST for arrived and sent the DELETE at once.

--- a/slipbay/backends/http_exchange.py
+++ b/slipbay/backends/http_exchange.py
@@ -482,7 +482,7 @@
         self._release_held_connection()
         if not self._is_post_written or self._page_count:
             self._finish(outcome)  # no query runs: it was not sent, or its end has been received
-        elif not self._answered and self._call_connection is not None:
+        elif not self._answered and any(call.is_open for call in self._sent_calls):
             if self._post_call is not None and self._post_call.is_open and self._post_call.connection.unsent:
                 self._take_back(self._post_call)  # it is not sent completely, and never will be
                 self._finish(outcome)
--- a/tests/test_http_exchange.py
+++ b/tests/test_http_exchange.py
@@ -189,6 +189,21 @@
     assert not model.attempt.ends
 
 
+def test_a_delete_does_not_overtake_a_post_that_a_poll_has_overtaken() -> None:
+    """Guards against a query that begins after its end was reported: the poll beside the POST was answered
+    first, and a stop then sent the DELETE at once."""
+    model = ShortDeadlineModel()
+    model.connect()
+    model.loop.advance(70_000)
+    model.arrive(1)
+    model.answer(0, "error")
+    model.stop()
+    assert [call for _, call in model.in_transit] == ["POST /obj"]
+    model.wait(50_000)
+    assert model.has_query
+    assert not model.attempt.ends
+
+
 def test_a_post_that_cannot_be_taken_back_is_open_until_the_deadline(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against two attempts at once where the system refuses to reset a connection: the POST may still
     arrive, so that no other attempt may follow."""
