Check a client's SVID at each login and command, and resume no TLS 1.3 sessions

Cause: identity was judged once, at a full handshake, and used later: a resumed handshake verifies no chain, and neither the login nor the commands after it looked at the time of validity.

Change: no session tickets; the login checks the validity; before each command a connection's SVID must not have expired, and the bundle, read again at most once a second, must still have the authorities of its login. Else the command gets error 1045 and the connection is closed by flush and half-close; what runs is answered.

Not measured: what the look before each command costs.

--- a/slipbay/frontends/identity.py
+++ b/slipbay/frontends/identity.py
@@ -3,12 +3,26 @@
 from __future__ import annotations
 
 import ssl
+import time
+from dataclasses import dataclass
 from pathlib import Path
 
 from slipbay.config.model import SpiffeConfig
 from slipbay.config.validation import ConfigError
 from slipbay.log import log
-from slipbay.wire.spiffe import InvalidSpiffeIdError, svid_id
+from slipbay.wire.spiffe import InvalidSpiffeIdError, Svid, TlsServer, read_svid
+
+RELOAD_INTERVAL_S = 1.0  # between looks at the files for clients that are connected
+
+
+@dataclass(frozen=True, slots=True)
+class ClientIdentity:
+    """A client that has logged in with an SVID."""
+
+    tenant: int
+    svid: Svid
+    authorities: frozenset[bytes]
+    """The certificates (DER) of the bundle against which the SVID was verified."""
 
 
 class Identity:
@@ -20,6 +34,7 @@
 
     def __init__(self, config: SpiffeConfig) -> None:
         self._config = config
+        self._checked_at_s = 0.0  # when the files were last looked at, monotonic
         self._loaded_versions = self._read_file_versions()
         try:
             import cryptography  # noqa: F401
@@ -34,8 +49,12 @@
         context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
         context.minimum_version = ssl.TLSVersion.TLSv1_2
         context.verify_mode = ssl.CERT_REQUIRED
+        # A resumed session would not verify the client's chain again
+        context.num_tickets = 0
+        context.options |= ssl.OP_NO_TICKET
         context.load_cert_chain(self._config.certificate, self._config.key)
         context.load_verify_locations(self._config.bundle)
+        self._authorities = frozenset(context.get_ca_certs(binary_form=True))
         return context
 
     def _read_file_versions(self) -> list[tuple[int, int, int]]:
@@ -66,15 +85,33 @@
                 log("identity", "rotated certificate files cannot be loaded yet", reason=problem)
         return self._context
 
-    def tenant(self, certificate: bytes | None) -> int | None:
-        """Returns the client's tenant number; None if the certificate is missing, invalid or unknown."""
+    def authenticate(self, tls: TlsServer) -> ClientIdentity | None:
+        """Returns who a client is; None if its certificate is missing, invalid, expired or unknown.
+
+        The validity is checked here too, as a TLS 1.2 client may resume a session, which verifies nothing.
+        """
+        certificate = tls.client_certificate
         if certificate is None:
             return None
         try:
-            client_id = svid_id(certificate, self._config.trust_domain)
+            svid = read_svid(certificate, self._config.trust_domain)
         except InvalidSpiffeIdError as problem:
             log("identity", "client certificate is not a valid SVID", reason=problem)
             return None
-        if client_id not in self._config.tenants:
-            log("identity", "no tenant is configured for the client's SPIFFE ID", spiffe_id=client_id)
-        return self._config.tenants.get(client_id)
+        if not svid.is_valid_at(time.time()):
+            log("identity", "client certificate is not valid now", spiffe_id=svid.spiffe_id)
+            return None
+        tenant = self._config.tenants.get(svid.spiffe_id)
+        if tenant is None:
+            log("identity", "no tenant is configured for the client's SPIFFE ID", spiffe_id=svid.spiffe_id)
+            return None
+        return ClientIdentity(tenant, svid, tls.authorities)
+
+    def is_still_valid(self, client: ClientIdentity) -> bool:
+        """Returns whether a connected client may send a further command: its SVID has not expired, and
+        no authority was taken out of the bundle since it was verified."""
+        now_s = time.monotonic()
+        if now_s - self._checked_at_s >= RELOAD_INTERVAL_S:
+            self._checked_at_s = now_s
+            self.context()
+        return client.svid.is_valid_at(time.time()) and client.authorities <= self._authorities
--- a/slipbay/frontends/mysql.py
+++ b/slipbay/frontends/mysql.py
@@ -16,7 +16,7 @@
 from slipbay.core.dispatcher import Dispatcher
 from slipbay.core.model import QUERY_FAILED, Answer, Backend, Failed, Rejected, Request, Served
 from slipbay.frontends.client_connection import ClientConnection
-from slipbay.frontends.identity import Identity
+from slipbay.frontends.identity import ClientIdentity, Identity
 from slipbay.frontends.prepared_statement import PreparedStatement
 from slipbay.frontends.server import Server
 from slipbay.idempotency.digest import digest
@@ -196,6 +196,7 @@
         self._tls: TlsServer | None = None
         self._credentials: mysql.Login | None = None
         self._tenant = 0
+        self._client_identity: ClientIdentity | None = None  # None: the client has logged in with a password
         self._request: Request | None = None
         self._queued_commands: deque[tuple[int, bytes]] = deque()
         self._statements: dict[int, PreparedStatement] = {}
@@ -337,7 +338,9 @@
             self._close_with_error(sequence, mysql.ER_BAD_DB, f"Unknown database '{login.database}'")
         elif identity is not None:
             assert self._tls is not None
-            self._complete_login(sequence, identity.tenant(self._tls.client_certificate))
+            self._client_identity = identity.authenticate(self._tls)
+            tenant = self._client_identity.tenant if self._client_identity is not None else None
+            self._complete_login(sequence, tenant)
         elif login.plugin in (mysql.CACHING_SHA2, mysql.NATIVE) and (
             login.auth_response or not self._configured_password()
         ):
@@ -394,6 +397,18 @@
         self._execute_command(sequence, payload)
 
     def _execute_command(self, sequence: int, payload: bytes) -> None:
+        identity = self._frontend.identity
+        if (
+            identity is not None
+            and self._client_identity is not None
+            and not identity.is_still_valid(self._client_identity)
+        ):
+            self._close_with_error(
+                sequence,
+                mysql.ER_ACCESS_DENIED,
+                "The X.509-SVID is not valid any more; connect with a new one",
+            )
+            return
         match payload[0] if payload else None:
             case mysql.COM_QUIT:
                 self.close()
--- a/slipbay/wire/spiffe.py
+++ b/slipbay/wire/spiffe.py
@@ -4,6 +4,7 @@
 
 import re
 import ssl
+from dataclasses import dataclass
 
 from slipbay.errors import SlipbayError
 
@@ -35,8 +36,25 @@
     return domain
 
 
-def svid_id(certificate: bytes, trust_domain: str) -> str:
-    """The SPIFFE ID of a leaf certificate (DER) whose chain is already verified against the bundle."""
+@dataclass(frozen=True, slots=True)
+class Svid:
+    """A workload's X.509-SVID; times are Unix times in s."""
+
+    spiffe_id: str
+    valid_from_s: float
+    valid_until_s: float
+
+    def is_valid_at(self, time_s: float) -> bool:
+        """Whether the certificate is valid at this time."""
+        return self.valid_from_s <= time_s <= self.valid_until_s
+
+
+def read_svid(certificate: bytes, trust_domain: str) -> Svid:
+    """Read a leaf certificate (DER) whose chain is already verified against the bundle.
+
+    Raises:
+        InvalidSpiffeIdError: if it is no SVID of a workload in the trust domain.
+    """
     from cryptography import x509  # imported only if SPIFFE identities are used
     from cryptography.x509.oid import ExtensionOID
 
@@ -59,13 +77,14 @@
         raise InvalidSpiffeIdError(f"an SVID has one URI, not {len(uris)}")
     if check_id(uris[0]) != trust_domain:
         raise InvalidSpiffeIdError("the SVID has another trust domain")
-    return str(uris[0])
+    return Svid(str(uris[0]), leaf.not_valid_before_utc.timestamp(), leaf.not_valid_after_utc.timestamp())
 
 
 class TlsServer:
     """The server side of a TLS connection, without I/O."""
 
     def __init__(self, context: ssl.SSLContext) -> None:
+        self._context = context
         self._incoming = ssl.MemoryBIO()
         self._outgoing = ssl.MemoryBIO()
         self._tls = context.wrap_bio(self._incoming, self._outgoing, server_side=True)
@@ -96,6 +115,11 @@
         """Bytes to be sent to the client now."""
         return self._outgoing.read()
 
+    @property
+    def authorities(self) -> frozenset[bytes]:
+        """The certificates (DER) against which the client's chain is verified."""
+        return frozenset(self._context.get_ca_certs(binary_form=True))
+
     @property
     def client_certificate(self) -> bytes | None:
         """The client's leaf certificate (DER) after the handshake."""
--- a/tests/test_spiffe.py
+++ b/tests/test_spiffe.py
@@ -2,21 +2,27 @@
 
 from __future__ import annotations
 
+import asyncio
 import datetime
 import ipaddress
 import os
+import socket
 import ssl
+import struct
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import pytest
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
-from loopback import run, until
-from mysql_standins import MysqlClient, MysqlEngine, MysqlError
+from loopback import HOST, run, until
+from mysql_standins import MysqlClient, MysqlEngine, MysqlError, packet
 from test_mysql_front import ROW, network
 
+from slipbay.frontends.identity import RELOAD_INTERVAL_S
 from slipbay.wire.spiffe import InvalidSpiffeIdError, check_id
 
 DOMAIN = "kitaboshi.example"
@@ -38,6 +44,7 @@
         uris: list[str],
         is_ca: bool = False,
         signs_certificates: bool = False,
+        valid_s: float = 86_400.0,
     ) -> x509.Certificate:
         usage = {
             "digital_signature": True,
@@ -66,7 +73,7 @@
             .public_key(key.public_key())
             .serial_number(x509.random_serial_number())
             .not_valid_before(NOW - datetime.timedelta(days=1))
-            .not_valid_after(NOW + datetime.timedelta(days=1))
+            .not_valid_after(datetime.datetime.now(datetime.UTC) + datetime.timedelta(seconds=valid_s))
             .add_extension(x509.BasicConstraints(ca=is_ca, path_length=None), critical=True)
             .add_extension(x509.KeyUsage(**usage), critical=True)
             .add_extension(
@@ -76,7 +83,7 @@
             .sign(self.key, hashes.SHA256())
         )
 
-    def write(self, folder: Path, name: str, uris: list[str], **options: bool) -> tuple[Path, Path]:
+    def write(self, folder: Path, name: str, uris: list[str], **options: Any) -> tuple[Path, Path]:
         """Writes a workload's certificate and key, each replaced atomically, as a SPIFFE agent does."""
         key = ec.generate_private_key(ec.SECP256R1())
         paths = folder / f"{name}.pem", folder / f"{name}.key"
@@ -195,6 +202,86 @@
     run(test)
 
 
+VALID_S = 3.0  # of a short SVID; certificates count in whole seconds
+
+
+def visit(
+    port: int, tls: ssl.SSLContext, session: ssl.SSLSession | None
+) -> tuple[int, ssl.SSLSession | None]:
+    """Logs in, and returns the first byte of the answer and the TLS session for a later visit."""
+    with socket.create_connection((HOST, port), 10) as plain:
+        plain.recv(4096)  # the greeting
+        login = struct.pack("<IIB23x", 0x00288A01, 1 << 24, 45)
+        plain.sendall(packet(1, login))
+        with tls.wrap_socket(plain, session=session) as sock:
+            sock.sendall(packet(2, login + b"office\0\0caching_sha2_password\0"))
+            answer = sock.recv(4096)
+            return answer[4] if answer else 0xFF, sock.session
+
+
+@pytest.mark.parametrize("version", [ssl.TLSVersion.TLSv1_2, ssl.TLSVersion.TLSv1_3])
+def test_an_expired_svid_is_rejected_when_a_session_is_resumed(
+    version: ssl.TLSVersion, tmp_path: Path
+) -> None:
+    """Guards against clients whose SVID has expired: a resumed handshake does not verify it."""
+
+    async def test() -> None:
+        authority = Authority()
+        async with network(tmp_path, MysqlEngine(), extra=spiffe_table(tmp_path, authority)) as net:
+            tls = context(tmp_path, authority.write(tmp_path, "office", [OFFICE], valid_s=VALID_S))
+            tls.maximum_version = version
+            first, session = await asyncio.to_thread(visit, net.port(1), tls, None)
+            assert first == 0
+            await asyncio.sleep(VALID_S + 1)
+            try:
+                second, _ = await asyncio.to_thread(visit, net.port(1), tls, session)
+            except OSError:  # TLS errors are of this kind
+                second = 0xFF
+            assert second == 0xFF
+
+    run(test)
+
+
+def expire(folder: Path, authority: Authority) -> float:
+    return VALID_S + 1
+
+
+def replace_bundle(folder: Path, authority: Authority) -> float:
+    other = Authority()
+    other.write(folder, "router", [f"spiffe://{DOMAIN}/router"])
+    other.write_bundle(folder)
+    return RELOAD_INTERVAL_S + 0.1
+
+
+@pytest.mark.parametrize("invalidate", [expire, replace_bundle])
+def test_an_open_connection_ends_when_its_svid_is_not_valid_any_more(
+    invalidate: Callable[[Path, Authority], float], tmp_path: Path
+) -> None:
+    """Guards against clients that stay connected for ever: identity was judged at the login alone. What runs
+    is answered; the next command is rejected."""
+
+    async def test() -> None:
+        authority = Authority()
+        engine = MysqlEngine()
+        async with network(tmp_path, engine, extra=spiffe_table(tmp_path, authority)) as net:
+            svid = authority.write(tmp_path, "office", [OFFICE], valid_s=VALID_S)
+            client = await MysqlClient.connect(net.port(1), tls=context(tmp_path, svid))
+            hint = "/* slipbay: class=report deadline_ms=20000 */"
+            statement = await client.prepare(f"{hint} SELECT a FROM sales_1.orders WHERE b = ?")
+            engine.hold = asyncio.Event()
+            client.send_execute(statement, "1")
+            await until(lambda: bool(engine.running))
+            await asyncio.sleep(invalidate(tmp_path, authority))
+            engine.hold.set()
+            assert await client.result() == [ROW]
+            with pytest.raises(MysqlError):
+                await client.execute(statement, "2")
+            assert await client.reader.read() == b""
+            assert sum(engine.executed.values()) == 1
+
+    run(test)
+
+
 @pytest.mark.parametrize(
     "id",
     [
