Take no answer to a poll that overtook the POST for the end of a query

Callers saw: a lookup ran on two engines at once, when a link delivered POST and poll together after a delay.

Cause: a 500 to a poll that was written beside the POST counted as 'unknown, so it has ended' once the POST was 350 ms old, though both may be held up for longer and the poll may come out first.

Change: such an answer proves nothing, whenever it comes; a later poll, written when the POST can't arrive any more (answered, its connection ended, or taken back 100 ms ago), decides.

The new test fails without the change.

--- a/slipbay/backends/http_exchange.py
+++ b/slipbay/backends/http_exchange.py
@@ -119,6 +119,7 @@
         self._may_arrive_later = False  # a call could not be taken back
         self._is_polled_beside_post = False  # a poll was sent while the POST may be in transit
         self._post_call: SentCall | None = None
+        self._post_taken_back_us = -TRANSIT_US
         self._call_connection: HttpConnection | None = None  # connection of the current POST or poll
         self._pending: PendingAcquire[HttpConnection] | None = None  # acquires the next connection for a poll
         self._pending_delete: PendingAcquire[HttpConnection] | None = None
@@ -185,8 +186,8 @@
     def _poll(self, connection: HttpConnection) -> None:
         """Poll for the end of the query, or get the next page of its result."""
         self._pending = None
+        self._is_polled_beside_post = not self._answered and self._may_post_arrive
         if self._call_connection is not None:  # its call has no answer yet, and a further connection is open
-            self._is_polled_beside_post = not self._answered and self._may_post_be_open
             self._call_connection.abandon(self._last_call_us + OVERDUE_US)
             if not self._is_polled_beside_post:
                 self._take_back(self._sent_calls[-1])
@@ -220,6 +221,12 @@
         """Whether the POST may still be in transit, and its answer may still arrive."""
         return self._backend.now() - self._posted_us < OVERDUE_US
 
+    @property
+    def _may_post_arrive(self) -> bool:
+        """Whether the POST may arrive after a poll that is written now."""
+        is_open = self._post_call is not None and self._post_call.is_open
+        return is_open or self._backend.now() - self._post_taken_back_us < TRANSIT_US
+
     @property
     def _answer_timeout_us(self) -> int:
         """Time without an answer after which the query or page is requested on another connection."""
@@ -298,6 +305,8 @@
         now_us = self._backend.now()
         if call.connection is self._call_connection:
             self._call_connection = None
+        if call is self._post_call:
+            self._post_taken_back_us = now_us
         if not self._answered and not self._pool.was_heard_since(call.written_us):
             self._is_process_uncertain = True  # its connection might have broken
         call.connection.abandon(now_us)
@@ -331,11 +340,10 @@
                 self._is_unknown_to_engine = True
                 connection.finish_call(response)
                 return
-            if self._is_polled_beside_post and self._may_post_be_open:
+            if self._is_polled_beside_post:
                 # The poll may have overtaken the POST; the timer polls again
                 connection.finish_call(response)
                 return
-            self._take_back_calls(written_by_us=self._backend.now())
         self._answered = True
         self._last_arrival_us = self._backend.now()  # the call may have arrived late
         self._is_process_uncertain = False
--- a/tests/test_http_exchange.py
+++ b/tests/test_http_exchange.py
@@ -6,7 +6,7 @@
 import errno
 
 import pytest
-from exchange_models import Attempt, HttpModel, ShortDeadlineModel
+from exchange_models import ENGINE, Attempt, HttpModel, ShortDeadlineModel
 from fakes import EndedSocket, FakeTransport, QuietSocket
 
 from slipbay.backends.pool import QUERY_DROPPED_US
@@ -219,3 +219,19 @@
     assert not model.attempt.ends
     model.loop.advance(500_000)
     assert model.attempt.ends == [(Outcome.RESET, None)]
+
+
+def test_a_poll_that_overtook_the_post_proves_nothing_however_late_its_answer_comes() -> None:
+    """Guards against two attempts at once: POST and poll were held up together for longer than a poll takes,
+    and the poll came out first. Its answer ended the attempt in the moment in which the POST arrived."""
+    model = ShortDeadlineModel()
+    model.connect()
+    model.loop.advance(70_000)
+    model.be_silent(270_000)  # the POST is not overdue yet
+    model.backend._pools[ENGINE].record_answer()  # to another query
+    model.arrive(1)
+    model.loop.us += 20_000  # now it is, and the timer has not fired yet
+    model.answer(0, "error")
+    assert not model.attempt.ends
+    model.arrive(0)
+    assert model.has_query
