--- a/slipbay/frontends/client_connection.py
+++ b/slipbay/frontends/client_connection.py
@@ -9,6 +9,7 @@
 from slipbay.frontends.input_budget import InputBudget
 from slipbay.frontends.output_budget import FREE_BYTES as FREE_UNSENT_BYTES
 from slipbay.frontends.output_budget import MAX_UNSENT_BYTES, OutputBudget
+from slipbay.frontends.progress import Progress
 from slipbay.frontends.turns import TurnScheduler
 from slipbay.stream import Stream
 
@@ -78,6 +79,10 @@
         self.last_active_us = server.now()
         self.last_received_us = self.last_active_us
         self.receive_bytes = server.input_budget.receive_bytes
+        self._progress = Progress(self.last_active_us)
+        self._received_bytes = 0
+        self._written_bytes = 0
+        self._was_unacknowledged = False  # at the last look
         self._message_began_us: int | None = None  # when the first bytes of an incomplete message came
 
     @property
@@ -132,6 +137,27 @@
         """Restarts the idle timeout after a complete message or an answer."""
         self.last_active_us = self.server.now()
 
+    def note_progress(self) -> None:
+        """Restarts the idle timeout if a message is coming, or answers are read, at the minimum rate."""
+        unacknowledged = self.unacknowledged
+        taken_bytes = self._written_bytes - unacknowledged
+        is_under_way = self.is_receiving or unacknowledged or self._was_unacknowledged
+        self._was_unacknowledged = bool(unacknowledged)
+        has_moved = self._progress.has_moved(self._received_bytes, taken_bytes, self.server.now())
+        if is_under_way and has_moved:
+            self.record_activity()
+
+    @property
+    def is_receiving(self) -> bool:
+        """Whether the client has begun something and the rest of it is awaited."""
+        return self.mid_message
+
+    @property
+    def is_being_read(self) -> bool:
+        """Whether the client has not received all answers yet and has taken bytes of them recently."""
+        idle_us = min(self.idle_us, IDLE_TIMEOUT_US)
+        return bool(self.unacknowledged) and self.server.now() - self.last_active_us <= idle_us
+
     def extend_idle_timeout(self, idle_us: int) -> None:
         """Sets the longer idle timeout that a client has after its first valid message."""
         self.has_sent_message = True
@@ -145,6 +171,8 @@
 
     def write(self, data: bytes) -> None:
         """Sends bytes; a client that does not read them is not read either once there are too many."""
+        if not (self.lost or self.closing):
+            self._written_bytes += len(data)
         super().write(data)
         if self.unsent > FREE_UNSENT_BYTES:
             self.server.output_budget.check()
@@ -180,7 +208,7 @@
         """Handles received bytes, and those that the kernel still has, so that the end of the connection is
         noticed before the requests in front of it are sent."""
         if nbytes == len(self.get_buffer(-1)) and not self.half_closed:
-            self.buffer_input(bytes(self.get_buffer(-1)))
+            self._take_input(bytes(self.get_buffer(-1)))
             self._note_undrained()
             self._read_ahead()
             self.received(b"")
@@ -203,16 +231,20 @@
             if not data:
                 self.client_has_left = True  # the transport reads the end again
                 return
-            self.buffer_input(data)
+            self._take_input(data)
 
     def received(self, data: bytes) -> None:
         """Handles received bytes: their complete messages in order, as far as one turn permits."""
         self.last_received_us = self.server.now()
         if data:
-            self.buffer_input(data)
+            self._take_input(data)
         if not self.has_backlog:
             self.server.turns.run(self)
 
+    def _take_input(self, data: bytes) -> None:
+        self._received_bytes += len(data)
+        self.buffer_input(data)
+
     def handle_messages(self, until_us: int) -> bool:
         """Handles messages until a time; returns whether complete messages may be left.
 
--- a/slipbay/frontends/mysql.py
+++ b/slipbay/frontends/mysql.py
@@ -224,6 +224,11 @@
         """Whether only a part of a packet has been received."""
         return bool(self._packets.buffered_bytes)
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether the client has begun a packet, or its TLS handshake and login are not complete."""
+        return self.mid_message or self._credentials is None
+
     # Bytes
 
     def opened(self) -> None:
@@ -246,7 +251,6 @@
 
     def buffer_input(self, data: bytes) -> None:
         """Buffers received bytes, decrypted if the client uses TLS."""
-        self.record_activity()
         try:
             self._buffer_plain(data)
         except ssl.SSLError as problem:
@@ -289,6 +293,7 @@
         packet = self._packets.next_payload()
         if packet is None:
             return False
+        self.record_activity()
         tls = self._tls
         self._handle_packet(*packet)
         if self._tls is not tls:  # all further bytes of the connection are TLS records
--- a/slipbay/frontends/server.py
+++ b/slipbay/frontends/server.py
@@ -203,7 +203,7 @@
         self._timers.after(LINGER_US, lambda: self._close_lingering(connection))
 
     def _close_lingering(self, connection: ClientConnection) -> None:
-        if connection.unsent and not connection.lost:
+        if not connection.lost and (connection.unsent or connection.is_being_read):
             # _sweep aborts connections of clients that do not read
             self._timers.after(LINGER_US, lambda: self._close_lingering(connection))
         else:
@@ -235,6 +235,7 @@
         """Closes idle connections, and enforces the memory limit, as buffers may grow in small steps."""
         now = self.now()
         for connection in list(self.connections):
+            connection.note_progress()
             if connection.busy or now - connection.last_active_us <= connection.idle_us:
                 continue
             if connection.unsent:
--- a/slipbay/stream.py
+++ b/slipbay/stream.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import errno
+import fcntl
 import socket
 import struct
+import termios
 from collections.abc import Callable
 
 from slipbay.address import Address
@@ -25,6 +27,7 @@
 OPENED_STATES = frozenset((TCP_ESTABLISHED, TCP_CLOSE_WAIT))
 LINGER_OFF = struct.pack("ii", 0, 0)  # the system sends what is written, after the close too
 LINGER_RESET = struct.pack("ii", 1, 0)  # a close drops what the peer has not acknowledged, and resets
+_COUNT = struct.Struct("i")  # as the system returns a number of bytes
 PEEK_FLAGS = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)  # computed once, as combining enum flags is slow
 
 
@@ -97,6 +100,18 @@
         """Bytes that have not yet been passed to the kernel."""
         return self.transport.get_write_buffer_size() if self.transport is not None else 0
 
+    @property
+    def unacknowledged(self) -> int:
+        """Bytes that were written and that the other side's system has not acknowledged; those that are still
+        in this process if the system does not tell."""
+        if self.sock is None or self.lost:
+            return self.unsent
+        try:
+            queued = fcntl.ioctl(self.sock.fileno(), termios.TIOCOUTQ, bytes(_COUNT.size))
+        except OSError:
+            return self.unsent
+        return self.unsent + int(_COUNT.unpack(queued)[0])
+
     def is_stale(self) -> bool:
         """Whether the connection has ended, or has unread data or an unread end from the other side."""
         if self.lost or self.transport is None or self.transport.is_closing() or self.sock is None:
--- a/tests/test_close_races.py
+++ b/tests/test_close_races.py
@@ -30,12 +30,14 @@
     return json.dumps({"jsonrpc": "2.0", "id": id, "method": method, "params": params}).encode() + b"\n"
 
 
-async def connect(net: Loopback) -> socket.socket:
+async def connect(net: Loopback, segment_bytes: int | None = None) -> socket.socket:
     """Connects a client socket and waits until the router has accepted it."""
     loop = asyncio.get_running_loop()
     before = set(net.router.server.connections)
     client = socket.socket()
     client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)  # so that unread answers stay in the router
+    if segment_bytes is not None:
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, segment_bytes)
     client.setblocking(False)
     await loop.sock_connect(client, (HOST, net.port()))
     await until(lambda: any(c.transport for c in net.router.server.connections - before))
@@ -295,3 +297,61 @@
             await until(lambda: not net.router.server.connections)
 
     run(test)
+
+
+LINE_BYTES_PER_S = 100_000  # of a client on a poor line
+
+
+def test_answers_that_a_client_reads_slowly_come_whole() -> None:
+    """Guards against answers that are cut off: a connection whose client took bytes all the time counted as
+    idle 6 s after its last answer."""
+    answers = 20
+    rows = b"".join(b"%d\tx\t%s\n" % (number, b"y" * 100) for number in range(400))
+    page = http_answer(200, rows, X_Sheets="1")
+
+    async def script(call: HttpCall, writer: asyncio.StreamWriter) -> bytes | None:
+        return page
+
+    async def test() -> None:
+        engine = StandInEngine(script)
+        async with Loopback(engine) as net:
+            client = await connect(net, segment_bytes=1400)  # so that the system takes little at once
+            loop = asyncio.get_running_loop()
+            for number in range(1, answers + 1):
+                await loop.sock_sendall(client, line(number))
+                await until(lambda: len(engine.named("POST")) == number)  # noqa: B023 - awaited at once
+            received = b""
+            while received.count(b"\n") < answers:
+                data = await loop.sock_recv(client, 2000)
+                assert data, f"cut off after {received.count(10)} answers"
+                received += data
+                await asyncio.sleep(len(data) / LINE_BYTES_PER_S)
+            assert all("result" in json.loads(answer) for answer in received.splitlines())
+            client.close()
+
+    run(test)
+
+
+def test_a_request_that_comes_in_pieces_over_more_than_two_seconds_is_answered() -> None:
+    """Guards against requests on new connections that are never answered: pieces came all the time, but no
+    whole message within 2 s. Single bytes now and then do not hold a connection."""
+
+    async def test() -> None:
+        async with Loopback(StandInEngine()) as net:
+            slow, dripping = await connect(net), await connect(net)
+            loop = asyncio.get_running_loop()
+            request = line(1)
+            pieces = [request[begin : begin + 10] for begin in range(0, len(request), 10)]
+            assert len(pieces) * 0.25 > 3
+            ended = loop.create_task(read_to_end(dripping))
+            for piece in pieces:
+                await loop.sock_sendall(slow, piece)
+                if not ended.done():
+                    await loop.sock_sendall(dripping, b"{")
+                await asyncio.sleep(0.25)
+            assert "result" in json.loads(await loop.sock_recv(slow, 65_536))
+            assert ended.done()
+            slow.close()
+            dripping.close()
+
+    run(test)
