Move the calls that may not have arrived into a module of their own

Cause: http_exchange.py had grown to 608 lines, as it also kept which calls are open, until when they may arrive, and how they are taken back.

Change: backends/sent_calls.py holds that, without knowledge of answers and outcomes; http_exchange.py has 564 lines. At the end of an attempt without an answer every open call is taken back, also where an answer stands unread: it could have been to a POST of which a part was not sent yet. Nothing else changes.

--- a/slipbay/backends/http_exchange.py
+++ b/slipbay/backends/http_exchange.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Protocol
 
 from slipbay.backends.http_connection import HttpConnection
@@ -19,14 +18,14 @@
     Pool,
 )
 from slipbay.backends.result_budget import ResultBudget, ResultReservation
+from slipbay.backends.sent_calls import TRANSIT_US, SentCall, SentCalls
 from slipbay.core.model import Attempt
 from slipbay.core.timers import Timer, Timers
 from slipbay.log import log
 from slipbay.policy.events import NoteKind, Outcome
 from slipbay.wire import http1
 
-TRANSIT_US = 100_000  # bound on the network delays of a call and its answer, and on delays in the engine
-# The same bound for a page; it is short, as engines send pages immediately and a client waits for many pages
+# The same bound as TRANSIT_US for a page; engines send pages immediately, and a client waits for many
 PAGE_TRANSIT_US = 40_000
 MIN_EARLY_POLL_US = 60_000  # minimum wait for the answer to the POST before a poll on another connection
 # The wait is the client's time limit divided by this, if that is longer than MIN_EARLY_POLL_US
@@ -84,21 +83,6 @@
     return Outcome.ERROR
 
 
-@dataclass(frozen=True, slots=True)
-class SentCall:
-    """A POST or poll that was written on a connection, which may carry another call by now."""
-
-    connection: HttpConnection
-    number: int
-    """The number of the call on its connection."""
-    written_us: int
-
-    @property
-    def is_open(self) -> bool:
-        """Whether the call has no answer, so that it may not have arrived yet."""
-        return self.connection.call_count == self.number and self.connection.has_open_call
-
-
 class HttpExchange:
     """One attempt on one engine."""
 
@@ -113,13 +97,8 @@
         self._is_post_written = False  # the POST may have arrived complete
         self._answered = False  # the engine has answered a call, so it has received the POST
         self._last_call_us = self._posted_us = 0  # times when the last POST or poll and the POST were written
-        # Times until which the last call and those before it may have arrived at the engine
-        self._last_arrival_us = self._previous_arrival_us = 0
-        self._sent_calls: list[SentCall] = []  # all that may be open
-        self._may_arrive_later = False  # a call could not be taken back
+        self._sent_calls = SentCalls(backend.now, self._call_taken_back)
         self._is_polled_beside_post = False  # a poll was sent while the POST may be in transit
-        self._post_call: SentCall | None = None
-        self._post_taken_back_us = -TRANSIT_US
         self._call_connection: HttpConnection | None = None  # connection of the current POST or poll
         self._pending: PendingAcquire[HttpConnection] | None = None  # acquires the next connection for a poll
         self._pending_delete: PendingAcquire[HttpConnection] | None = None
@@ -141,7 +120,8 @@
         self._is_ended = False
         if resumed:
             self._is_post_written = self._answered = True
-            self._last_call_us = self._last_arrival_us = backend.now()
+            self._sent_calls.record_arrival()
+            self._last_call_us = backend.now()
             self._check_timer = backend.timers.at(
                 self._last_call_us + self._answer_timeout_us, self._check_progress
             )
@@ -179,25 +159,27 @@
         self._pending = None
         self._is_post_written = True
         self._posted_us = now
-        self._call(connection, http1.request("POST", "/obj", self._pool_host(), headers, request.payload))
+        self._call(
+            connection,
+            http1.request("POST", "/obj", self._pool_host(), headers, request.payload),
+            is_post=True,
+        )
         self._posted_us = self._last_call_us
-        self._post_call = self._sent_calls[-1]
 
     def _poll(self, connection: HttpConnection) -> None:
         """Poll for the end of the query, or get the next page of its result."""
         self._pending = None
-        self._is_polled_beside_post = not self._answered and self._may_post_arrive
+        self._is_polled_beside_post = not self._answered and self._sent_calls.may_post_arrive
         if self._call_connection is not None:  # its call has no answer yet, and a further connection is open
             self._call_connection.abandon(self._last_call_us + OVERDUE_US)
             if not self._is_polled_beside_post:
-                self._take_back(self._sent_calls[-1])
+                self._sent_calls.take_back_last()
         number = len(self._pages) if self._page_count else 0
         self._call(connection, http1.request("GET", f"{self._path}/{number}", self._pool_host()))
 
-    def _call(self, connection: HttpConnection, request: bytes) -> None:
+    def _call(self, connection: HttpConnection, request: bytes, is_post: bool = False) -> None:
         self._call_connection = connection
         self._is_closed_by_engine = False
-        self._previous_arrival_us = self._last_arrival_us
         self._last_call_us = self._backend.now()
         connection.call(
             request,
@@ -205,10 +187,8 @@
             self._interrupted,
             fence=lambda: self._priority_call(self._attempt.request.priority),
         )
-        # The process may have been stopped during this turn
-        self._last_call_us = self._last_arrival_us = self._backend.exact_now()
-        self._sent_calls = [call for call in self._sent_calls if call.is_open]
-        self._sent_calls.append(SentCall(connection, connection.call_count, self._last_call_us))
+        self._last_call_us = self._backend.exact_now()  # the process may have been stopped during this turn
+        self._sent_calls.add(connection, self._last_call_us, is_post)
         if self._check_timer is None or self._page_count:  # pages arrive long before the timer of a poll
             if self._check_timer is not None:
                 self._check_timer.cancel()
@@ -221,12 +201,6 @@
         """Whether the POST may still be in transit, and its answer may still arrive."""
         return self._backend.now() - self._posted_us < OVERDUE_US
 
-    @property
-    def _may_post_arrive(self) -> bool:
-        """Whether the POST may arrive after a poll that is written now."""
-        is_open = self._post_call is not None and self._post_call.is_open
-        return is_open or self._backend.now() - self._post_taken_back_us < TRANSIT_US
-
     @property
     def _answer_timeout_us(self) -> int:
         """Time without an answer after which the query or page is requested on another connection."""
@@ -261,7 +235,7 @@
         self._check_timer = None
         now_us = self._backend.now()
         if not self._page_count:
-            self._take_back_calls(written_by_us=now_us - OVERDUE_US)
+            self._sent_calls.take_back(written_by_us=now_us - OVERDUE_US)
         if self._must_have_ended(now_us):
             self._finish(self._stop_outcome or Outcome.RESET)
             return
@@ -277,8 +251,8 @@
         next_check_us = now_us + RETRY_US
         if since_call_us < timeout_us:
             next_check_us = self._last_call_us + timeout_us
-        elif not self._may_arrive_later:
-            next_check_us = min(next_check_us, self._last_arrival_us + QUERY_DROPPED_US)
+        elif not self._sent_calls.may_arrive_later:
+            next_check_us = min(next_check_us, self._sent_calls.last_arrival_us + QUERY_DROPPED_US)
         if self._awaits_post_answer:
             next_check_us = min(next_check_us, self._posted_us + OVERDUE_US)
         # A poll on an idle connection has set the timer already
@@ -288,32 +262,15 @@
     def _must_have_ended(self, now_us: int) -> bool:
         """Whether no query can run any more, as no call can have arrived for long enough. If a call may still
         arrive, the attempt ends only when no other can follow."""
-        if self._may_arrive_later:
+        if self._sent_calls.may_arrive_later:
             return now_us >= self._attempt.request.deadline_us
-        return now_us - self._last_arrival_us >= QUERY_DROPPED_US
-
-    # Taking calls back
+        return now_us - self._sent_calls.last_arrival_us >= QUERY_DROPPED_US
 
-    def _take_back_calls(self, written_by_us: int) -> None:
-        """Take back the open calls that were written by this time, unless an answer is about to be read."""
-        for call in self._sent_calls:
-            if call.is_open and call.written_us <= written_by_us and not call.connection.has_unread_data():
-                self._take_back(call)
-
-    def _take_back(self, call: SentCall) -> None:
-        """Close the connection of an open call so that the call can't arrive any more, if it has not yet."""
-        now_us = self._backend.now()
+    def _call_taken_back(self, call: SentCall) -> None:
         if call.connection is self._call_connection:
             self._call_connection = None
-        if call is self._post_call:
-            self._post_taken_back_us = now_us
         if not self._answered and not self._pool.was_heard_since(call.written_us):
             self._is_process_uncertain = True  # its connection might have broken
-        call.connection.abandon(now_us)
-        if call.connection.take_back():
-            self._last_arrival_us = max(self._last_arrival_us, now_us)
-        else:
-            self._may_arrive_later = True
 
     # Answers
 
@@ -332,11 +289,11 @@
         if (
             response.status == http1.INTERNAL_SERVER_ERROR
             and not self._answered
-            and (self._post_call is None or connection is not self._post_call.connection)
+            and not self._sent_calls.is_post_on(connection)
         ):
             if self._pool.was_unreachable:
                 # The engine may still read the POST, until QUERY_DROPPED_US after the previous call arrived
-                self._last_arrival_us = self._previous_arrival_us
+                self._sent_calls.forget_last_arrival()
                 self._is_unknown_to_engine = True
                 connection.finish_call(response)
                 return
@@ -345,7 +302,7 @@
                 connection.finish_call(response)
                 return
         self._answered = True
-        self._last_arrival_us = self._backend.now()  # the call may have arrived late
+        self._sent_calls.record_arrival()
         self._is_process_uncertain = False
         if self._pending is not None:  # a further poll is not needed any more
             self._pending.cancel()
@@ -490,10 +447,9 @@
         self._release_held_connection()
         if not self._is_post_written or self._page_count:
             self._finish(outcome)  # no query runs: it was not sent, or its end has been received
-        elif not self._answered and any(call.is_open for call in self._sent_calls):
-            if self._post_call is not None and self._post_call.is_open and self._post_call.connection.unsent:
-                self._take_back(self._post_call)  # it is not sent completely, and never will be
-                self._finish(outcome)
+        elif not self._answered and self._sent_calls.has_open_call:
+            if self._sent_calls.is_post_partly_sent:
+                self._finish(outcome)  # which takes the POST back
             else:  # the first answer arrives soon; an earlier DELETE might overtake the POST
                 self._backend.timers.at(
                     min(self._posted_us + TRANSIT_US, self._backend.now() + STOP_GRACE_US),
@@ -507,7 +463,7 @@
         if self._is_ended:
             return
         if not self._answered:
-            self._take_back_calls(written_by_us=self._backend.now())
+            self._sent_calls.take_back()
         self._backend.timers.at(max(self._backend.now(), self._posted_us + TRANSIT_US), self._delete)
 
     def _delete(self) -> None:
@@ -604,5 +560,5 @@
         now_us = self._backend.now()
         if self._call_connection is not None:
             self._call_connection.abandon(now_us + CALL_TIMEOUT_US)
-        self._take_back_calls(written_by_us=now_us - OVERDUE_US if self._answered else now_us)
+        self._sent_calls.take_back(written_by_us=now_us - OVERDUE_US if self._answered else None)
         self._sent_calls.clear()
--- a/tests/contracts/test_exchange_contract.py
+++ b/tests/contracts/test_exchange_contract.py
@@ -160,7 +160,8 @@
     """E3: waits forever for an unresponsive engine."""
 
     def _check_progress(self) -> None:
-        self._last_arrival_us = max(self._last_arrival_us, self._backend.now() - pool.LONG_POLL_US)
+        calls = self._sent_calls
+        calls.last_arrival_us = max(calls.last_arrival_us, self._backend.now() - pool.LONG_POLL_US)
         super()._check_progress()
 
 
