--- a/slipbay/backends/sent_calls.py
+++ b/slipbay/backends/sent_calls.py
@@ -16,7 +16,7 @@
 TRANSIT_US = 100_000
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True, eq=False)
 class SentCall:
     """A POST or poll that was written on a connection, which may carry another call by now."""
 
--- a/slipbay/rig/tcp_proxy.py
+++ b/slipbay/rig/tcp_proxy.py
@@ -40,8 +40,9 @@
         return not self.is_cut and all(event.is_set() for event in self._may_forward.values())
 
     async def open(self) -> None:
-        """Start to accept connections."""
+        """Start to accept connections; port 0 is replaced by a free one."""
         self._server = await asyncio.start_server(self._serve, *self.address)
+        self.address = self._server.sockets[0].getsockname()[:2]
 
     def close(self) -> None:
         """Stop the proxy and abort its connections."""
@@ -63,7 +64,10 @@
             writer.transport.abort()
 
     def stall(self, directions: tuple[str, ...]) -> None:
-        """Hold back bytes and ends of connections; no connection is closed, and new ones are accepted."""
+        """Hold back bytes and ends of connections; no connection is closed, and new ones are accepted.
+
+        As with TCP, what is held back still arrives after its sender has closed, but not after a reset.
+        """
         for direction in directions:
             self._may_forward[direction].clear()
 
@@ -114,8 +118,8 @@
         while data:
             try:
                 data = await source.read(65_536)
-            except OSError:
-                data = b""
+            except OSError as reset:  # what the sender had written and is held back never arrives
+                raise _ConnectionOverError from reset
             await queue.put((asyncio.get_running_loop().time() + self.delay_s[direction], data))
 
     async def _forward(
